--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,9 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config({ ignores: ['target/', 'node_modules/'] }, ...tseslint.configs.strict, {
+  rules: {
+    eqeqeq: 'error',
+    '@typescript-eslint/no-non-null-assertion': 'off',
+    '@typescript-eslint/restrict-template-expressions': 'off',
+  },
+});
--- /dev/null
+++ b/packages/api/index.ts
@@ -0,0 +1,126 @@
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { Writable } from 'node:stream';
+import { pipeline } from 'node:stream/promises';
+import Koa from 'koa';
+import { decode, encode, isFields, MAX_BODY_BYTES } from '#wire';
+
+/** An answer to a user or a worker, before it is put on the wire. */
+export interface Answer {
+  status: number;
+  body: object;
+  retryAfterS?: number;
+}
+
+/** What the HTTP side needs of a node. */
+export interface Service {
+  submit(body: unknown): Promise<Answer>;
+  show(id: string): Promise<Answer>;
+  withdraw(id: string): Promise<Answer>;
+  report(body: unknown): Promise<Answer>;
+  health(): Answer;
+}
+
+/** Thrown for a body that can't be taken; the client gets 400. */
+class BadBody extends Error {}
+
+/** Collects a body, and refuses it as soon as it grows over the limit. */
+class Collector extends Writable {
+  private readonly chunks: Buffer[] = [];
+  private size = 0;
+
+  override _write(chunk: Buffer, _encoding: string, done: (error?: Error) => void): void {
+    this.size += chunk.length;
+    if (this.size > MAX_BODY_BYTES) {
+      done(new BadBody('body too large'));
+      return;
+    }
+    this.chunks.push(chunk);
+    done();
+  }
+
+  get bytes(): Buffer {
+    return Buffer.concat(this.chunks);
+  }
+}
+
+async function readBody(req: IncomingMessage): Promise<unknown> {
+  const collector = new Collector();
+  await pipeline(req, collector, { end: true });
+  let value: unknown;
+  try {
+    value = decode(collector.bytes);
+  } catch {
+    throw new BadBody('not MessagePack');
+  }
+  if (!isFields(value)) throw new BadBody('not a map');
+  return value;
+}
+
+type Route = (service: Service, id: string, body: unknown) => Promise<Answer> | Answer;
+
+const ROUTES: { method: string; path: RegExp; takesBody: boolean; run: Route }[] = [
+  { method: 'POST', path: /^\/v1\/report$/, takesBody: true, run: (s, _id, body) => s.report(body) },
+  { method: 'POST', path: /^\/submissions$/, takesBody: true, run: (s, _id, body) => s.submit(body) },
+  { method: 'GET', path: /^\/submissions\/([^/]+)$/, takesBody: false, run: (s, id) => s.show(id) },
+  {
+    method: 'POST',
+    path: /^\/submissions\/([^/]+)\/withdraw$/,
+    takesBody: false,
+    run: (s, id) => s.withdraw(id),
+  },
+  { method: 'GET', path: /^\/healthz$/, takesBody: false, run: (s) => s.health() },
+];
+
+export function createApp(service: Service, onError: (cause: unknown) => void): Koa {
+  const app = new Koa();
+  app.silent = true;
+  app.use(async (ctx) => {
+    const answer = await dispatch(service, ctx.method, ctx.path, ctx.req).catch((cause: unknown): Answer => {
+      if (cause instanceof BadBody) {
+        // What is left of an oversized body is not read: the connection can't be used again.
+        ctx.set('Connection', 'close');
+        return { status: 400, body: { error: cause.message } };
+      }
+      onError(cause);
+      return { status: 500, body: { error: 'internal error' } };
+    });
+    ctx.status = answer.status;
+    if (answer.retryAfterS !== undefined) ctx.set('Retry-After', String(answer.retryAfterS));
+    ctx.type = 'application/msgpack';
+    ctx.body = encode(answer.body);
+  });
+  return app;
+}
+
+async function dispatch(
+  service: Service,
+  method: string,
+  path: string,
+  req: IncomingMessage,
+): Promise<Answer> {
+  const found = ROUTES.map((route) => ({ route, match: route.path.exec(path) })).filter((r) => r.match);
+  if (found.length === 0) return { status: 404, body: { error: 'no such path' } };
+  const hit = found.find((r) => r.route.method === method);
+  if (!hit) return { status: 405, body: { error: 'method not allowed' } };
+  const body = hit.route.takesBody ? await readBody(req) : undefined;
+  return hit.route.run(service, hit.match?.[1] ?? '', body);
+}
+
+/** Kept connections stay open until the client ends them, as the protocol says. */
+const KEEP_OPEN_MS = 3_600_000;
+
+export function listen(app: Koa, address: string): Promise<Server> {
+  const cut = address.lastIndexOf(':');
+  const handle = app.callback();
+  const server = createServer((req, res) => {
+    void handle(req, res);
+  });
+  server.keepAliveTimeout = KEEP_OPEN_MS;
+  server.requestTimeout = 0;
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(address.slice(cut + 1)), address.slice(0, cut), () => {
+      resolve(server);
+    });
+  });
+}
--- /dev/null
+++ b/packages/cluster/done-set.ts
@@ -0,0 +1,53 @@
+/** Which tasks of a job are done: a bit each, written out as ranges ("0-41,44"). */
+export class DoneSet {
+  private bits = new Uint8Array(0);
+  private size = 0;
+  /** Every index below this is done. */
+  private low = 0;
+
+  get count(): number {
+    return this.size;
+  }
+
+  get firstOpen(): number {
+    return this.low;
+  }
+
+  has(index: number): boolean {
+    return ((this.bits[index >> 3] ?? 0) & (1 << (index & 7))) !== 0;
+  }
+
+  add(index: number): void {
+    if (this.has(index)) return;
+    const at = index >> 3;
+    if (at >= this.bits.length) {
+      const grown = new Uint8Array(Math.max(at + 1, this.bits.length * 2));
+      grown.set(this.bits);
+      this.bits = grown;
+    }
+    this.bits[at] = (this.bits[at] ?? 0) | (1 << (index & 7));
+    this.size++;
+    while (this.has(this.low)) this.low++;
+  }
+
+  ranges(): string[] {
+    const out: string[] = [];
+    const end = this.bits.length * 8;
+    for (let i = 0; i < end; i++) {
+      if (!this.has(i)) continue;
+      let last = i;
+      while (this.has(last + 1)) last++;
+      out.push(last === i ? String(i) : `${i}-${last}`);
+      i = last;
+    }
+    return out;
+  }
+
+  addRanges(text: string): void {
+    for (const part of text.split(',')) {
+      if (part === '') continue;
+      const [from, to] = part.split('-').map(Number);
+      for (let i = from ?? 0; i <= (to ?? from ?? -1); i++) this.add(i);
+    }
+  }
+}
--- /dev/null
+++ b/packages/cluster/logger.ts
@@ -0,0 +1,6 @@
+/** The part of a logger that the packages use; pino's has this shape. */
+export interface Logger {
+  debug(fields: object, text: string): void;
+  info(fields: object, text: string): void;
+  error(fields: object, text: string): void;
+}
--- /dev/null
+++ b/packages/cluster/replica.ts
@@ -0,0 +1,302 @@
+import type { Logger } from './logger.js';
+import {
+  ALL,
+  BATON,
+  CHECKPOINT_HEAD,
+  CHUNKS,
+  JOBS,
+  LEAD,
+  LOG,
+  NOTHING,
+  NOW,
+  OVER,
+  TYPES,
+  chunkKey,
+  overKey,
+} from './keys.js';
+import { type CheckpointRow, Ledger, type PlacementRecord } from './ledger.js';
+import { type Change, type Row, type StoreClient, StoreError } from '#store';
+import {
+  type Clock,
+  type Fields,
+  type MachineType,
+  type Micros,
+  MS,
+  SECOND,
+  sleep,
+  type Submission,
+} from '#wire';
+
+export interface LiveJob {
+  spec: Submission;
+  /** Time of day of its acceptance, in milliseconds. */
+  at: number;
+  /** Order of acceptance. */
+  stamp: number;
+}
+
+export interface Lead {
+  member: string;
+  nonce: string;
+  baton: number;
+  stamp: number;
+}
+
+export type ReplicaState = 'loading' | 'following' | 'stopped';
+export type Final = 'done' | 'withdrawn';
+
+const BLOCK: Micros = 10 * SECOND;
+/** Least time between two reads of the epoch: polls in between wait for the same one. */
+const BARRIER_GAP: Micros = 60 * MS;
+const RECENT_FINALS = 2000;
+
+/**
+ * A node's copy of all live state, kept by one watch. It changes only by what the state service says, in the
+ * order of its epochs, on the owner as on every other node.
+ */
+export class Replica {
+  ledger = new Ledger();
+  readonly jobs = new Map<string, LiveJob>();
+  /** Machine types as last read from the cloud by a leader: known even while the cloud is down. */
+  readonly types = new Map<string, MachineType>();
+  lead: Lead | null = null;
+  baton = { value: 0, stamp: 0 };
+  checkpointSeq = 0;
+  applied = 0;
+  /** Steady time at which the state was known to be complete, or -Infinity. */
+  freshAt = -Infinity;
+  state: ReplicaState = 'loading';
+
+  private finals = new Map<string, Final>();
+  private logRows = new Set<string>();
+  private chunkRows = new Set<string>();
+  private listeners: (() => void)[] = [];
+  private waiting: { epoch: number; done: (ok: boolean) => void }[] = [];
+  private nextBarrier: Promise<boolean> | null = null;
+  private lastBarrier: Micros = -Infinity;
+
+  constructor(
+    private readonly store: StoreClient,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+  ) {}
+
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  stop(): void {
+    this.enter('stopped');
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped()) {
+      try {
+        if (this.state === 'loading') await this.load();
+        else await this.follow();
+      } catch (cause) {
+        this.log.debug({ cause: String(cause) }, 'watch interrupted');
+        await sleep(this.clock, cause instanceof StoreError ? 250 * MS : SECOND);
+      }
+    }
+  }
+
+  /** Log records and checkpoint chunks that a newer checkpoint has made superfluous. */
+  litter(): string[] {
+    const logs = [...this.logRows].filter((key) => Number(key.slice(LOG.length)) <= this.checkpointSeq);
+    const keep = chunkKey(this.checkpointSeq, 0).slice(0, -4);
+    const chunks = [...this.chunkRows].filter((key) => !key.startsWith(keep));
+    return [...logs, ...chunks];
+  }
+
+  /**
+   * Resolves true once everything that the state service had committed when this was called is applied
+   * here; false if that can't be had now. Callers that come close together share one read.
+   */
+  barrier(): Promise<boolean> {
+    this.nextBarrier ??= this.readEpoch();
+    return this.nextBarrier;
+  }
+
+  /** Final state of a job that is not live. Only final states are kept, since those never change. */
+  async final(id: string): Promise<Final | null> {
+    const known = this.finals.get(id);
+    if (known) return known;
+    const { row } = await this.store.get(overKey(id));
+    if (!row) return null;
+    this.keepFinal(id, row.value);
+    return this.finals.get(id) ?? null;
+  }
+
+  knownFinal(id: string): Final | null {
+    return this.finals.get(id) ?? null;
+  }
+
+  /** Resolves when the given epoch is applied, or false after the timeout. */
+  reach(epoch: number, timeout: Micros): Promise<boolean> {
+    if (this.applied >= epoch && this.state === 'following') return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const timer = this.clock.after(timeout, () => {
+        this.waiting = this.waiting.filter((w) => w !== entry);
+        resolve(false);
+      });
+      const entry = {
+        epoch,
+        done: (ok: boolean) => {
+          timer.cancel();
+          resolve(ok);
+        },
+      };
+      this.waiting.push(entry);
+    });
+  }
+
+  private stopped(): boolean {
+    return this.state === 'stopped';
+  }
+
+  private enter(state: ReplicaState): void {
+    if (this.state === state || this.state === 'stopped') return;
+    this.log.debug({ from: this.state, to: state }, 'replica');
+    this.state = state;
+  }
+
+  private async readEpoch(): Promise<boolean> {
+    const pause = this.lastBarrier + BARRIER_GAP - this.clock.now();
+    if (pause > 0) await sleep(this.clock, pause);
+    // From here on a caller needs the next read, since this one may be answered before it called.
+    this.nextBarrier = null;
+    const sent = this.clock.now();
+    this.lastBarrier = sent;
+    try {
+      const { epoch } = await this.store.get(NOTHING);
+      if (!(await this.reach(epoch, SECOND))) return false;
+      this.freshAt = Math.max(this.freshAt, sent);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  private async load(): Promise<void> {
+    const rows: Row[] = [];
+    let first: number | null = null;
+    for (let after = ''; ;) {
+      const page = await this.store.list(NOW, after);
+      first ??= page.epoch;
+      rows.push(...page.rows);
+      const last = page.rows.at(-1);
+      if (!page.more || !last) break;
+      after = last.path;
+    }
+    this.ledger = new Ledger();
+    this.jobs.clear();
+    this.types.clear();
+    this.logRows.clear();
+    this.chunkRows.clear();
+    this.lead = null;
+    this.baton = { value: 0, stamp: 0 };
+    this.checkpointSeq = 0;
+    for (const row of rows) {
+      const isRecord = row.path.startsWith(LOG);
+      if (!isRecord) this.take({ path: row.path, stamp: row.stamp, value: row.value });
+    }
+    const head = rows.find((r) => r.path === CHECKPOINT_HEAD)?.value;
+    if (head) {
+      const seq = Number(head['Seq']);
+      const parts: CheckpointRow[] = [];
+      for (let i = 0; i < Number(head['Chunks']); i++) {
+        const chunk = rows.find((r) => r.path === chunkKey(seq, i));
+        if (!chunk) throw new Error(`checkpoint ${seq} lacks part ${i}`);
+        parts.push(...(chunk.value['Rows'] as CheckpointRow[]));
+      }
+      this.ledger.restore(seq, parts);
+    }
+    for (const row of rows) {
+      if (row.path.startsWith(LOG)) this.take({ path: row.path, stamp: row.stamp, value: row.value });
+    }
+    for (const job of [...this.ledger.books.keys()]) if (!this.jobs.has(job)) this.ledger.drop(job);
+    this.applied = first;
+    this.enter('following');
+    this.log.info({ jobs: this.jobs.size, seq: this.ledger.seq, epoch: first }, 'state loaded');
+    this.announce();
+  }
+
+  private async follow(): Promise<void> {
+    const answer = await this.store.follow(ALL, this.applied, BLOCK);
+    if (this.stopped()) return;
+    if (!answer) {
+      this.log.info({ applied: this.applied }, 'watch too old, reading all live state again');
+      this.enter('loading');
+      return;
+    }
+    for (const change of answer.news) this.take(change);
+    this.applied = Math.max(this.applied, answer.epoch);
+    if (this.state === 'following') this.announce();
+  }
+
+  private announce(): void {
+    const reached = this.waiting.filter((w) => w.epoch <= this.applied);
+    this.waiting = this.waiting.filter((w) => w.epoch > this.applied);
+    for (const w of reached) w.done(true);
+    for (const listener of this.listeners) listener();
+  }
+
+  private take(change: Change): void {
+    const { path, value } = change;
+    if (path === LEAD) {
+      this.lead = value ? leadOf(value, change.stamp) : null;
+    } else if (path === BATON) {
+      this.baton = { value: Number(value?.['Baton'] ?? 0), stamp: change.stamp };
+    } else if (path.startsWith(JOBS)) {
+      this.takeJob(path.slice(JOBS.length), change);
+    } else if (path.startsWith(LOG)) {
+      if (!value) this.logRows.delete(path);
+      else {
+        this.logRows.add(path);
+        // A gap can only mean that this copy missed something: start over rather than guess.
+        if (!this.ledger.apply(value as unknown as PlacementRecord)) this.enter('loading');
+        for (const [job] of (value as unknown as PlacementRecord).Ends ?? []) {
+          if (!this.jobs.has(job)) this.ledger.drop(job);
+        }
+      }
+    } else if (path.startsWith(OVER)) {
+      if (value) this.keepFinal(path.slice(OVER.length), value);
+    } else if (path.startsWith(TYPES)) {
+      if (value) this.types.set(path.slice(TYPES.length), value['Type'] as MachineType);
+      else this.types.delete(path.slice(TYPES.length));
+    } else if (path === CHECKPOINT_HEAD) {
+      this.checkpointSeq = Number(value?.['Seq'] ?? 0);
+    } else if (path.startsWith(CHUNKS)) {
+      if (value) this.chunkRows.add(path);
+      else this.chunkRows.delete(path);
+    }
+  }
+
+  private takeJob(id: string, change: Change): void {
+    if (change.value) {
+      const spec = change.value['Job'] as Submission;
+      this.jobs.set(id, { spec, at: Number(change.value['At']), stamp: change.stamp });
+    } else {
+      this.jobs.delete(id);
+      this.ledger.drop(id);
+    }
+  }
+
+  private keepFinal(id: string, value: Fields): void {
+    this.finals.set(id, value['Status'] === 'done' ? 'done' : 'withdrawn');
+    if (this.finals.size > RECENT_FINALS) {
+      const oldest = this.finals.keys().next().value;
+      if (oldest !== undefined) this.finals.delete(oldest);
+    }
+  }
+}
+
+function leadOf(value: Fields, stamp: number): Lead {
+  return {
+    member: String(value['Member']),
+    nonce: String(value['Nonce']),
+    baton: Number(value['Baton']),
+    stamp,
+  };
+}
--- /dev/null
+++ b/packages/daemon/index.ts
@@ -0,0 +1,3 @@
+export * from './controller.js';
+export * from './scheduler.js';
+export * from './users.js';
--- /dev/null
+++ b/packages/fleet/index.ts
@@ -0,0 +1,2 @@
+export * from './planner.js';
+export * from './keeper.js';
--- /dev/null
+++ b/packages/fleet/planner.ts
@@ -0,0 +1,138 @@
+import { type Amounts, fits, slots, take, type WaitingJob } from '#pricing';
+import { type MachineType, type Micros } from '#wire';
+
+/** A choice the cloud offers: a type in a zone, ordinary or spot. */
+export interface Offer {
+  build: string;
+  hall: string;
+  loaners: boolean;
+}
+
+export interface Coming extends Offer {
+  room: Amounts;
+}
+
+export interface NeedRow {
+  job: WaitingJob;
+  count: number;
+}
+
+export interface PlanInput {
+  types: readonly MachineType[];
+  /** What waits and found no room, most urgent first. */
+  needs: readonly NeedRow[];
+  /** Machines that were rented and are not up yet, and room that is about to be free. */
+  coming: Coming[];
+  /** Machines per zone at present, so that new ones go where fewer are. */
+  perHall: ReadonlyMap<string, number>;
+  refused: (offer: Offer) => boolean;
+  mostPerRequest: number;
+}
+
+export interface RentPlan extends Offer {
+  number: number;
+}
+
+export function offerKey(offer: Offer): string {
+  return `${offer.build}/${offer.hall}/${offer.loaners ? 'spot' : 'ordinary'}`;
+}
+
+export function amountsOf(type: MachineType): Amounts {
+  return { cpus: type.Cpus, gpus: type.Gpus, memGb: type.MemGb };
+}
+
+/**
+ * What to rent for the tasks that neither present room nor machines on their way will take: per task the
+ * cheapest offer open to it, spread over the zones.
+ */
+export function planRentals(input: PlanInput): RentPlan[] {
+  const plans = new Map<string, RentPlan>();
+  const perHall = new Map(input.perHall);
+  const coming = input.coming.map((c) => ({ ...c, room: { ...c.room } }));
+  for (const { job, count } of input.needs) {
+    let left = count;
+    for (const machine of coming) {
+      if (left === 0) break;
+      if (!suits(job, machine)) continue;
+      const n = Math.min(left, slots(job.need, machine.room));
+      take(machine.room, job.need, n);
+      left -= n;
+    }
+    while (left > 0) {
+      const offer = cheapest(input, job, left, perHall, plans);
+      if (!offer) break;
+      const key = offerKey(offer);
+      const plan = plans.get(key) ?? { ...offer, number: 0 };
+      plans.set(key, plan);
+      plan.number++;
+      perHall.set(offer.hall, (perHall.get(offer.hall) ?? 0) + 1);
+      const type = input.types.find((t) => t.Sku === offer.build) as MachineType;
+      const room = amountsOf(type);
+      const n = Math.min(left, slots(job.need, room));
+      take(room, job.need, n);
+      left -= n;
+      coming.push({ ...offer, room });
+    }
+  }
+  return [...plans.values()];
+}
+
+export function suits(job: WaitingJob, offer: Offer): boolean {
+  return (
+    (job.loaners || !offer.loaners) &&
+    (job.builds?.includes(offer.build) ?? true) &&
+    (job.hall === null || job.hall === offer.hall)
+  );
+}
+
+/** Price per task that would really be placed; zones with fewer machines win among equals. */
+function cheapest(
+  input: PlanInput,
+  job: WaitingJob,
+  count: number,
+  perHall: ReadonlyMap<string, number>,
+  plans: ReadonlyMap<string, RentPlan>,
+): Offer | null {
+  let best: Offer | null = null;
+  let bestScore: [number, number] = [Infinity, Infinity];
+  for (const type of input.types) {
+    const room = amountsOf(type);
+    if (!fits(job.need, room)) continue;
+    for (const hall of type.Halls) {
+      for (const loaners of [true, false]) {
+        const offer = { build: type.Sku, hall, loaners };
+        if (!suits(job, offer) || input.refused(offer)) continue;
+        if ((plans.get(offerKey(offer))?.number ?? 0) >= input.mostPerRequest) continue;
+        const price = (loaners ? type.LowPrice : type.Price) / Math.min(count, slots(job.need, room));
+        const score: [number, number] = [price, perHall.get(hall) ?? 0];
+        if (score[0] < bestScore[0] - 1e-9 || (score[0] < bestScore[0] + 1e-9 && score[1] < bestScore[1])) {
+          best = offer;
+          bestScore = score;
+        }
+      }
+    }
+  }
+  return best;
+}
+
+export interface Idle {
+  host: string;
+  idle: Micros;
+  age: Micros;
+  loaners: boolean;
+}
+
+export interface KeepOptions {
+  /** How long an idle machine is kept, ordinary and spot. */
+  ordinary: Micros;
+  spot: Micros;
+  /** A machine costs at least this long. */
+  least: Micros;
+}
+
+/** Which idle machines to give back. */
+export function planReturns(idle: readonly Idle[], keep: KeepOptions): string[] {
+  return idle
+    .filter((m) => m.idle > (m.loaners ? keep.spot : keep.ordinary) && m.age > keep.least)
+    .map((m) => m.host);
+}
--- /dev/null
+++ b/packages/pricing/index.ts
@@ -0,0 +1,2 @@
+export * from './round.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/pricing/round.ts
@@ -0,0 +1,244 @@
+import type {
+  Amounts,
+  Price,
+  RoomyMachine,
+  RoundInput,
+  RoundOptions,
+  RoundResult,
+  WaitingJob,
+} from './types.js';
+
+/** Tolerance for sums of decimal amounts. */
+const EPS = 1e-6;
+
+/** A shape: machines of one type and kind, priced together. Spot ones are a shape apart. */
+export function shapeOf(build: string, loaners: boolean): string {
+  return loaners ? `${build}+` : build;
+}
+
+export function fits(need: Amounts, room: Amounts): boolean {
+  return need.cpus <= room.cpus + EPS && need.gpus <= room.gpus + EPS && need.memGb <= room.memGb + EPS;
+}
+
+/** How many tasks of this need fit into the room. */
+export function slots(need: Amounts, room: Amounts): number {
+  let count = Infinity;
+  if (need.cpus > 0) count = Math.min(count, (room.cpus + EPS) / need.cpus);
+  if (need.gpus > 0) count = Math.min(count, (room.gpus + EPS) / need.gpus);
+  if (need.memGb > 0) count = Math.min(count, (room.memGb + EPS) / need.memGb);
+  return Math.max(0, Math.floor(count));
+}
+
+export function take(room: Amounts, need: Amounts, times: number): void {
+  room.cpus -= need.cpus * times;
+  room.gpus -= need.gpus * times;
+  room.memGb -= need.memGb * times;
+}
+
+interface Pool {
+  shape: string;
+  build: string;
+  loaners: boolean;
+  machines: RoomyMachine[];
+  room: Amounts;
+  total: Amounts;
+  price: Price;
+}
+
+/** Tasks of one job that rank alike: those within their team's guarantee, or those beyond it. */
+interface Segment {
+  job: WaitingJob;
+  priority: number;
+  count: number;
+}
+
+/** Prices every shape, then places what waits: one round of the design. Pure but for the given randomness. */
+export function playRound(input: RoundInput): RoundResult {
+  const pools = poolByShape(input.machines, input.prices);
+  const segments = withinLimits(input);
+  const top = Math.max(1, ...segments.map((s) => s.priority));
+  for (let pass = 0; pass < input.options.passes; pass++) movePrices(pools, segments, top, input.options);
+  return place(input, pools, segments, top);
+}
+
+function poolByShape(machines: readonly RoomyMachine[], prices: ReadonlyMap<string, Price>): Pool[] {
+  const pools = new Map<string, Pool>();
+  for (const machine of machines) {
+    const shape = shapeOf(machine.build, machine.loaners);
+    let pool = pools.get(shape);
+    if (!pool) {
+      const price = { ...(prices.get(shape) ?? { cpu: 0, gpu: 0, mem: 0 }) };
+      const { build, loaners } = machine;
+      pool = { shape, build, loaners, machines: [], room: nothing(), total: nothing(), price };
+      pools.set(shape, pool);
+    }
+    pool.machines.push({ ...machine, room: { ...machine.room } });
+    take(pool.room, machine.room, -1);
+    take(pool.total, machine.total, -1);
+  }
+  return [...pools.values()];
+}
+
+/**
+ * Splits what waits into segments and leaves out what lies beyond its team's limit. A team's jobs come in
+ * the order of their priority, equal ones in the order in which they were accepted.
+ */
+function withinLimits(input: RoundInput): Segment[] {
+  const segments: Segment[] = [];
+  const { gpuTaskWeight, guaranteeWeight } = input.options;
+  const rank = (job: WaitingJob): number => job.priority * (job.need.gpus > 0 ? 1 + gpuTaskWeight : 1);
+  const top = Math.max(1, ...input.jobs.map(rank));
+  for (const team of input.teams) {
+    const left = {
+      cpus: team.most.cpus - team.used.cpus,
+      gpus: team.most.gpus - team.used.gpus,
+      memGb: Infinity,
+    };
+    const safe = {
+      cpus: team.guaranteed.cpus - team.used.cpus,
+      gpus: team.guaranteed.gpus - team.used.gpus,
+      memGb: Infinity,
+    };
+    const queue = input.jobs.filter((j) => j.crew === team.name);
+    queue.sort((a, b) => rank(b) - rank(a) || a.order - b.order);
+    for (const job of queue) {
+      const count = Math.min(job.waiting, slots(job.need, left));
+      const guaranteed = Math.min(count, slots(job.need, safe));
+      take(left, job.need, count);
+      take(safe, job.need, count);
+      if (guaranteed > 0) {
+        segments.push({ job, priority: rank(job) + guaranteeWeight * top, count: guaranteed });
+      }
+      if (count > guaranteed) segments.push({ job, priority: rank(job), count: count - guaranteed });
+    }
+  }
+  return segments;
+}
+
+function allowed(job: WaitingJob, pool: Pool): boolean {
+  if (pool.loaners && !job.loaners) return false;
+  if (job.builds && !job.builds.includes(pool.build)) return false;
+  return fits(job.need, pool.machines[0]?.total ?? nothing());
+}
+
+function utility(segment: Segment, pool: Pool, top: number, options: RoundOptions): number {
+  const { need } = segment.job;
+  const { price } = pool;
+  const onGpuShape = need.gpus === 0 && pool.total.gpus > 0 ? options.gpuShapeCost * top : 0;
+  return (
+    segment.priority - (price.cpu * need.cpus + price.gpu * need.gpus + price.mem * need.memGb) - onGpuShape
+  );
+}
+
+/** One price pass: every task picks its best shape, and each price follows the gap on its shape. */
+function movePrices(pools: Pool[], segments: Segment[], top: number, options: RoundOptions): void {
+  const chosen = new Map<Pool, Amounts>(pools.map((p) => [p, nothing()]));
+  for (const segment of segments) {
+    let best: Pool | null = null;
+    let bestUtility = 0;
+    for (const pool of pools) {
+      if (!allowed(segment.job, pool)) continue;
+      const u = utility(segment, pool, top, options);
+      if (u > bestUtility) [best, bestUtility] = [pool, u];
+    }
+    if (best) take(chosen.get(best) ?? nothing(), segment.job.need, -segment.count);
+  }
+  const step = options.step * top;
+  for (const pool of pools) {
+    const demand = chosen.get(pool) ?? nothing();
+    const move = (price: number, want: number, room: number, total: number): number =>
+      total > 0 ? Math.max(0, price + (step * (want - room)) / total) : 0;
+    pool.price.cpu = move(pool.price.cpu, demand.cpus, pool.room.cpus, pool.total.cpus);
+    pool.price.gpu = move(pool.price.gpu, demand.gpus, pool.room.gpus, pool.total.gpus);
+    pool.price.mem = move(pool.price.mem, demand.memGb, pool.room.memGb, pool.total.memGb);
+  }
+}
+
+function place(input: RoundInput, pools: Pool[], segments: Segment[], top: number): RoundResult {
+  const { options, random } = input;
+  const starts: RoundResult['starts'] = [];
+  const unmet = new Map<string, number>();
+  const zones = new Map<string, ZoneRule>();
+  const ranked = segments.map((segment) => {
+    const open = pools
+      .filter((pool) => allowed(segment.job, pool))
+      .map((pool) => ({ pool, u: utility(segment, pool, top, options) }))
+      .sort((a, b) => b.u - a.u);
+    return { segment, open, best: open[0]?.u ?? -Infinity };
+  });
+  ranked.sort((a, b) => b.best - a.best || a.segment.job.order - b.segment.job.order);
+  for (const { segment, open } of ranked) {
+    const { job } = segment;
+    let rule = zones.get(job.id);
+    if (!rule) zones.set(job.id, (rule = new ZoneRule(job, input.machines)));
+    let left = segment.count;
+    for (const { pool } of open) {
+      if (left === 0 || starts.length >= options.mostStarts) break;
+      const roomy = pool.machines.filter((m) => rule.open(m.hall) && fits(job.need, m.room));
+      // A machine that has the image starts the task at once: the random choice is among those first.
+      const warm = roomy.filter((m) => m.warm.has(job.bundle));
+      const cold = roomy.filter((m) => !m.warm.has(job.bundle));
+      for (const group of [warm, cold]) {
+        while (left > 0 && group.length > 0 && starts.length < options.mostStarts) {
+          const at = Math.floor(random() * group.length);
+          const machine = group[at] as RoomyMachine;
+          if (!rule.open(machine.hall) || !fits(job.need, machine.room)) {
+            group[at] = group[group.length - 1] as RoomyMachine;
+            group.pop();
+            continue;
+          }
+          take(machine.room, job.need, 1);
+          rule.placed(machine.hall);
+          starts.push({ job: job.id, host: machine.host });
+          left--;
+        }
+      }
+    }
+    if (left > 0) unmet.set(job.id, (unmet.get(job.id) ?? 0) + left);
+  }
+  return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet };
+}
+
+/** Which zones a job's next task may go to, given where its other tasks are at this moment. */
+class ZoneRule {
+  private readonly counts: Map<string, number>;
+  private readonly half: number;
+  private readonly only: string | null;
+
+  constructor(
+    private readonly job: WaitingJob,
+    machines: readonly RoomyMachine[],
+  ) {
+    this.counts = new Map(job.placedByHall);
+    this.half = Math.ceil(job.pieces / 2);
+    this.only = job.samePlace && this.counts.size === 0 ? roomiest(job, machines) : null;
+  }
+
+  open(hall: string): boolean {
+    const { job, counts } = this;
+    if (job.hall !== null && hall !== job.hall) return false;
+    if (job.samePlace) {
+      if (this.only !== null ? hall !== this.only : !counts.has(hall)) return false;
+    }
+    return !job.scatter || (counts.get(hall) ?? 0) < this.half;
+  }
+
+  placed(hall: string): void {
+    this.counts.set(hall, (this.counts.get(hall) ?? 0) + 1);
+  }
+}
+
+/** The zone with room for most of the job's tasks; a job tied to one zone starts there. */
+function roomiest(job: WaitingJob, machines: readonly RoomyMachine[]): string | null {
+  const room = new Map<string, number>();
+  for (const m of machines) {
+    const usable = (job.loaners || !m.loaners) && (job.builds?.includes(m.build) ?? true);
+    if (!usable || (job.hall !== null && job.hall !== m.hall)) continue;
+    room.set(m.hall, (room.get(m.hall) ?? 0) + slots(job.need, m.room));
+  }
+  return [...room].sort((a, b) => b[1] - a[1])[0]?.[0] ?? null;
+}
+
+function nothing(): Amounts {
+  return { cpus: 0, gpus: 0, memGb: 0 };
+}
--- /dev/null
+++ b/packages/pricing/types.ts
@@ -0,0 +1,80 @@
+export interface Amounts {
+  cpus: number;
+  gpus: number;
+  memGb: number;
+}
+
+export interface Price {
+  cpu: number;
+  gpu: number;
+  mem: number;
+}
+
+/** What of a job waits for machines. */
+export interface WaitingJob {
+  id: string;
+  crew: string;
+  need: Amounts;
+  /** Rank and waiting time as one number; the higher, the sooner. */
+  priority: number;
+  /** Order of acceptance, for ties. */
+  order: number;
+  waiting: number;
+  pieces: number;
+  builds: readonly string[] | null;
+  hall: string | null;
+  samePlace: boolean;
+  scatter: boolean;
+  loaners: boolean;
+  bundle: string;
+  /** Tasks of the job that are on machines now, by zone. */
+  placedByHall: ReadonlyMap<string, number>;
+}
+
+export interface RoomyMachine {
+  host: string;
+  build: string;
+  hall: string;
+  loaners: boolean;
+  total: Amounts;
+  /** Room as last reported, less starts sent since. */
+  room: Amounts;
+  warm: ReadonlySet<string>;
+}
+
+export interface TeamBooks {
+  name: string;
+  used: Amounts;
+  guaranteed: { cpus: number; gpus: number };
+  most: { cpus: number; gpus: number };
+}
+
+export interface RoundOptions {
+  passes: number;
+  /** Step per unit of gap, as a part of top priority. */
+  step: number;
+  /** Extra cost of a GPU shape to a task that needs no GPU, as a part of top priority. */
+  gpuShapeCost: number;
+  /** Raise of the rank of a task that needs GPUs, as a part of its priority. */
+  gpuTaskWeight: number;
+  /** Raise for what lies within a team's guarantee, as a part of top priority. */
+  guaranteeWeight: number;
+  mostStarts: number;
+}
+
+export interface RoundInput {
+  jobs: readonly WaitingJob[];
+  machines: readonly RoomyMachine[];
+  teams: readonly TeamBooks[];
+  prices: ReadonlyMap<string, Price>;
+  options: RoundOptions;
+  /** Uniform in [0, 1). */
+  random: () => number;
+}
+
+export interface RoundResult {
+  starts: { job: string; host: string }[];
+  prices: Map<string, Price>;
+  /** Tasks within their team's limit that found no roomy machine. */
+  unmet: Map<string, number>;
+}
--- /dev/null
+++ b/packages/store/index.ts
@@ -0,0 +1,142 @@
+import { type Caller, type Count, type Fields, isFields, type Method, type Micros, MS, SECOND } from '#wire';
+
+/** The state service's own page calls them `Path`, `V`, `Stamp`, `Permit`, `Epoch`. */
+export interface Row {
+  path: string;
+  value: Fields;
+  stamp: number;
+}
+
+export type Change = { path: string; stamp: number; value: Fields | null };
+
+export interface Guard {
+  path: string;
+  /** 0: the key must not exist. */
+  stamp: number;
+}
+
+export type Write = { set: string; value: Fields; permit?: Count } | { remove: string };
+
+/**
+ * What became of a commit. `unknown`: no answer, so it may have been applied or may yet be; whoever sent it
+ * reads back before going on.
+ */
+export type CommitResult =
+  | { kind: 'applied'; epoch: number }
+  | { kind: 'refused'; failed: string[]; epoch: number }
+  | { kind: 'no_permit' }
+  | { kind: 'not_executed'; status: number }
+  | { kind: 'unknown' };
+
+/** An answer that isn't the one asked for: over the limits, an outage, or none at all (status 0). */
+export class StoreError extends Error {
+  constructor(readonly status: number) {
+    super(status === 0 ? 'state service: no response' : `state service: ${status}`);
+  }
+}
+
+const TIMEOUT: Micros = 1500 * MS;
+
+export class StoreClient {
+  constructor(
+    private readonly endpoint: string,
+    private readonly call: Caller,
+  ) {}
+
+  /** The row, or null with the epoch at which the key did not exist. */
+  async get(path: string): Promise<{ row: Row | null; epoch: number }> {
+    const { status, body } = await this.send('GET', `/store/${path}`);
+    if (status === 404) return { row: null, epoch: Number(body['Epoch']) };
+    if (status !== 200) throw new StoreError(status);
+    const row = { path, value: fieldsOf(body['V']), stamp: Number(body['Stamp']) };
+    return { row, epoch: row.stamp };
+  }
+
+  async list(prefix: string, after: string): Promise<{ rows: Row[]; more: boolean; epoch: number }> {
+    const query = `Starts=${prefix}${after === '' ? '' : `&After=${after}`}&Limit=1000`;
+    const { status, body } = await this.send('GET', `/store?${query}`, undefined, 4 * SECOND);
+    if (status !== 200) throw new StoreError(status);
+    const rows = (Array.isArray(body['Rows']) ? body['Rows'] : []).filter(isFields).map((r) => ({
+      path: String(r['Path']),
+      value: fieldsOf(r['V']),
+      stamp: Number(r['Stamp']),
+    }));
+    return { rows, more: body['More'] === true, epoch: Number(body['Epoch']) };
+  }
+
+  async commit(guards: Guard[], writes: Write[]): Promise<CommitResult> {
+    const body = {
+      Guards: guards.map((g) => ({ Path: g.path, Stamp: g.stamp })),
+      Writes: writes.map((w) =>
+        'remove' in w
+          ? { Remove: w.remove }
+          : { Set: w.set, V: w.value, ...(w.permit === undefined ? {} : { Permit: w.permit }) },
+      ),
+    };
+    let reply;
+    try {
+      reply = await this.send('POST', '/commit', body);
+    } catch {
+      return { kind: 'unknown' };
+    }
+    const epoch = Number(reply.body['Epoch']);
+    if (reply.status === 200) return { kind: 'applied', epoch };
+    if (reply.status === 409) {
+      const failed = Array.isArray(reply.body['failed']) ? reply.body['failed'].map(String) : [];
+      return { kind: 'refused', failed, epoch };
+    }
+    if (reply.status === 400 && reply.body['error'] === 'no such lease') return { kind: 'no_permit' };
+    if (reply.status >= 400) return { kind: 'not_executed', status: reply.status };
+    return { kind: 'unknown' };
+  }
+
+  async grant(life: Micros): Promise<Count> {
+    const { status, body } = await this.send('POST', '/grants', { LifeMs: Math.round(life / MS) });
+    if (status !== 200) throw new StoreError(status);
+    return body['Permit'] as Count;
+  }
+
+  /** False: the grant has ended. */
+  async renew(permit: Count): Promise<boolean> {
+    const { status } = await this.send('POST', `/grants/${permit}/renew`);
+    if (status === 404) return false;
+    if (status !== 200) throw new StoreError(status);
+    return true;
+  }
+
+  async revoke(permit: Count): Promise<void> {
+    await this.send('DELETE', `/grants/${permit}`);
+  }
+
+  /** Blocks; null when `after` is too old and the keys have to be read again. */
+  async follow(
+    prefix: string,
+    after: number,
+    block: Micros,
+  ): Promise<{ epoch: number; news: Change[] } | null> {
+    const query = `Starts=${prefix}&After=${after}&BlockMs=${Math.round(block / MS)}`;
+    const { status, body } = await this.send('GET', `/follow?${query}`, undefined, block + 4 * SECOND);
+    if (status === 410) return null;
+    if (status !== 200) throw new StoreError(status);
+    const news = (Array.isArray(body['News']) ? body['News'] : [])
+      .filter(isFields)
+      .map((n) =>
+        n['Set'] === undefined || n['Set'] === null
+          ? { path: String(n['Remove']), stamp: Number(n['Stamp']), value: null }
+          : { path: String(n['Set']), stamp: Number(n['Stamp']), value: fieldsOf(n['V']) },
+      );
+    return { epoch: Number(body['Epoch']), news };
+  }
+
+  private async send(method: Method, path: string, body?: unknown, timeout: Micros = TIMEOUT) {
+    try {
+      return await this.call(this.endpoint, method, path, body, timeout);
+    } catch {
+      throw new StoreError(0);
+    }
+  }
+}
+
+function fieldsOf(value: unknown): Fields {
+  return isFields(value) ? value : {};
+}
--- /dev/null
+++ b/packages/workers/index.ts
@@ -0,0 +1,1 @@
+export * from './roster.js';
