--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -162,8 +162,9 @@
   }
 
   private async readEpoch(): Promise<boolean> {
-    const pause = this.lastBarrier + BARRIER_GAP - this.clock.now();
-    if (pause > 0) await sleep(this.clock, pause);
+    // Always yields first: the caller's assignment must come before the reset below, or every later barrier
+    // would share this one read for ever.
+    await sleep(this.clock, Math.max(0, this.lastBarrier + BARRIER_GAP - this.clock.now()));
     // From here on a caller needs the next read, since this one may be answered before it called.
     this.nextBarrier = null;
     const sent = this.clock.now();
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -139,7 +139,10 @@
 
   async report(body: unknown): Promise<Answer> {
     const report = parseReport(body);
-    if (!report) return { status: 400, body: { error: 'not a report' } };
+    if (!report) {
+      this.log.debug({ body }, 'not a report');
+      return { status: 400, body: { error: 'not a report' } };
+    }
     const refusal = this.notEntitled(report.Baton);
     if (refusal) return refusal;
     const lead = this.leadership.held();
--- a/packages/wire/report.ts
+++ b/packages/wire/report.ts
@@ -9,7 +9,7 @@
   if (!strings || !counts || typeof body['Loaners'] !== 'boolean' || !Array.isArray(body['Pieces']))
     return null;
   const recall = body['RecallS'];
-  if (recall != null && typeof recall !== 'number') return null;
+  if (recall !== null && recall !== undefined && typeof recall !== 'number') return null;
   const pieces = body['Pieces'] as unknown[];
   const ok = pieces.every(
     (p) =>
--- a/packages/wire/submission.ts
+++ b/packages/wire/submission.ts
@@ -1,6 +1,7 @@
 import { isFields } from './codec.js';
 import { isJobId, MAX_PIECES, RANKS, type Rank, type Submission } from './messages.js';
 
+const absent = (v: unknown): boolean => v === null || v === undefined;
 const text = (v: unknown): v is string => typeof v === 'string' && v.length > 0 && v.length <= 200;
 const amount = (v: unknown): v is number =>
   (typeof v === 'number' || typeof v === 'bigint') && Number.isFinite(Number(v)) && Number(v) >= 0;
@@ -25,15 +26,15 @@
     ['MemGb', amount(b['MemGb'])],
     ['Bundle', text(b['Bundle'])],
     ['SizeGb', amount(b['SizeGb'])],
-    ['Builds', b['Builds'] == null || (Array.isArray(b['Builds']) && b['Builds'].every(text))],
-    ['Hall', b['Hall'] == null || text(b['Hall'])],
+    ['Builds', absent(b['Builds']) || (Array.isArray(b['Builds']) && b['Builds'].every(text))],
+    ['Hall', absent(b['Hall']) || text(b['Hall'])],
     ['SamePlace', flag(b['SamePlace'])],
     ['Scatter', flag(b['Scatter'])],
     ['Loaners', flag(b['Loaners'])],
     ['ExpectS', amount(b['ExpectS'])],
     ['BookmarkS', amount(b['BookmarkS'])],
     ['StashS', amount(b['StashS'])],
-    ['DueS', b['DueS'] == null || amount(b['DueS'])],
+    ['DueS', absent(b['DueS']) || amount(b['DueS'])],
   ];
   const bad = need.find(([, ok]) => !ok);
   if (bad) return { invalid: bad[0] };
@@ -58,7 +59,7 @@
       ExpectS: Number(b['ExpectS']),
       BookmarkS: Number(b['BookmarkS']),
       StashS: Number(b['StashS']),
-      DueS: b['DueS'] == null ? null : Number(b['DueS']),
+      DueS: absent(b['DueS']) ? null : Number(b['DueS']),
     },
   };
 }
