--- /dev/null
+++ b/packages/pricing/round.test.ts
@@ -0,0 +1,162 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { fits, playRound, shapeOf, take } from './round.js';
+import type { RoomyMachine, RoundInput, RoundOptions, WaitingJob } from './types.js';
+
+const OPTIONS: RoundOptions = {
+  ...{ passes: 30, step: 0.1, gpuShapeCost: 0.5, gpuTaskWeight: 0.5, guaranteeWeight: 0.5, mostStarts: 1000 },
+};
+
+function random(seed: number): () => number {
+  const g = xoroshiro128plus(seed);
+  return () => (g.next() >>> 0) / 4294967296;
+}
+
+function job(id: string, change: Partial<WaitingJob> = {}): WaitingJob {
+  return {
+    ...{
+      id,
+      crew: 'blue',
+      need: { cpus: 2, gpus: 0, memGb: 4 },
+      priority: 2,
+      order: 1,
+      waiting: 1,
+      pieces: 1,
+    },
+    ...{ builds: null, hall: null, samePlace: false, scatter: false, loaners: true, bundle: 'img-1' },
+    placedByHall: new Map(),
+    ...change,
+  };
+}
+
+function machine(host: string, change: Partial<RoomyMachine> = {}): RoomyMachine {
+  const total = { cpus: 4, gpus: 0, memGb: 16 };
+  return {
+    ...{
+      host,
+      build: 'small',
+      hall: 'east',
+      loaners: false,
+      total,
+      room: { ...total },
+      warm: new Set<string>(),
+    },
+    ...change,
+  };
+}
+
+function input(jobs: WaitingJob[], machines: RoomyMachine[], change: Partial<RoundInput> = {}): RoundInput {
+  const team = (name: string): RoundInput['teams'][number] => ({
+    name,
+    used: { cpus: 0, gpus: 0, memGb: 0 },
+    guaranteed: { cpus: 4, gpus: 0 },
+    most: { cpus: 12, gpus: 1 },
+  });
+  const teams = [team('blue'), team('green')];
+  return { jobs, machines, teams, prices: new Map(), options: OPTIONS, random: random(1), ...change };
+}
+
+const anyJob = fc.record({
+  crew: fc.constantFrom('blue', 'green'),
+  cpus: fc.constantFrom(0.5, 1, 2, 4),
+  memGb: fc.constantFrom(1, 4, 15),
+  gpus: fc.constantFrom(0, 0, 1),
+  priority: fc.integer({ min: 1, max: 20 }),
+  waiting: fc.integer({ min: 1, max: 9 }),
+  hall: fc.constantFrom(null, 'east', 'west'),
+  builds: fc.constantFrom(null, ['small'], ['large']),
+  samePlace: fc.boolean(),
+  scatter: fc.boolean(),
+  loaners: fc.boolean(),
+});
+const anyMachine = fc.record({
+  hall: fc.constantFrom('east', 'west'),
+  large: fc.boolean(),
+  loaners: fc.boolean(),
+  used: fc.constantFrom(0, 1, 3),
+});
+
+test('whatever waits, no start breaks a limit, a constraint or a machine', () => {
+  fc.assert(
+    fc.property(fc.array(anyJob, { maxLength: 12 }), fc.array(anyMachine, { maxLength: 12 }), (js, ms) => {
+      const jobs = js.map((j, i) =>
+        job(`j-${i}`, {
+          ...{ ...j, need: { cpus: j.cpus, gpus: j.gpus, memGb: j.memGb }, order: i, pieces: j.waiting },
+        }),
+      );
+      const machines = ms.map((m, i) => {
+        const total = m.large ? { cpus: 8, gpus: 1, memGb: 64 } : { cpus: 4, gpus: 0, memGb: 16 };
+        const room = { ...total, cpus: total.cpus - m.used };
+        return machine(`n-${i}`, { ...m, build: m.large ? 'large' : 'small', total, room });
+      });
+      const result = playRound(input(jobs, machines));
+      const room = new Map(machines.map((m) => [m.host, { ...m.room }]));
+      const used = new Map<string, { cpus: number; gpus: number; memGb: number }>();
+      const halls = new Map<string, string[]>();
+      const count = new Map<string, number>();
+      for (const { job: id, host } of result.starts) {
+        const j = jobs.find((x) => x.id === id) as WaitingJob;
+        const m = machines.find((x) => x.host === host) as RoomyMachine;
+        const left = room.get(host) ?? { cpus: 0, gpus: 0, memGb: 0 };
+        assert.ok(fits(j.need, left), 'room');
+        take(left, j.need, 1);
+        assert.ok(j.builds?.includes(m.build) ?? true, 'type');
+        assert.ok(j.hall === null || j.hall === m.hall, 'zone');
+        assert.ok(j.loaners || !m.loaners, 'kind');
+        const u = used.get(j.crew) ?? { cpus: 0, gpus: 0, memGb: 0 };
+        take(u, j.need, -1);
+        used.set(j.crew, u);
+        halls.set(id, [...(halls.get(id) ?? []), m.hall]);
+        count.set(id, (count.get(id) ?? 0) + 1);
+      }
+      for (const u of used.values()) assert.ok(u.cpus <= 12 + 1e-6 && u.gpus <= 1 + 1e-6, 'limit');
+      for (const j of jobs) {
+        const where = halls.get(j.id) ?? [];
+        if (j.samePlace) assert.ok(new Set(where).size <= 1, 'one zone');
+        if (j.scatter) {
+          for (const h of ['east', 'west']) {
+            assert.ok(where.filter((x) => x === h).length <= Math.ceil(j.pieces / 2), 'scattered');
+          }
+        }
+        assert.ok((count.get(j.id) ?? 0) + (result.unmet.get(j.id) ?? 0) <= j.waiting, 'count');
+      }
+      for (const p of result.prices.values()) assert.ok(p.cpu >= 0 && p.mem >= 0 && p.gpu >= 0, 'price');
+    }),
+    { seed: 8, numRuns: 400 },
+  );
+});
+
+test('prices start from the last round, rise where more is asked than there is, and fall back to zero', () => {
+  const crowd = [job('j-1', { waiting: 6, pieces: 6, priority: 5 })];
+  const first = playRound(input(crowd, [machine('n-1')])).prices.get('small');
+  assert.ok(first && first.cpu > 0);
+  const prices = new Map([['small', first]]);
+  const next = playRound(input(crowd, [machine('n-1')], { prices, options: { ...OPTIONS, passes: 1 } }));
+  assert.ok(Math.abs((next.prices.get('small')?.cpu ?? 0) - first.cpu) < 1);
+  const idle = playRound(input([], [machine('n-1')], { prices }));
+  assert.equal(idle.prices.get('small')?.cpu, 0);
+});
+
+test('a shape that is dear is left for the next best, and even negative utility is placed', () => {
+  const dear = new Map([[shapeOf('small', false), { cpu: 50, gpu: 0, mem: 0 }]]);
+  const options = { ...OPTIONS, passes: 0 };
+  const large = machine('n-2', { build: 'large' });
+  const both = playRound(input([job('j-1')], [machine('n-1'), large], { prices: dear, options }));
+  assert.deepEqual(both.starts, [{ job: 'j-1', host: 'n-2' }]);
+  const only = playRound(input([job('j-1')], [machine('n-1')], { prices: dear, options }));
+  assert.deepEqual(only.starts, [{ job: 'j-1', host: 'n-1' }]);
+});
+
+test('of two teams the one within its guarantee goes first, and rank decides within a team', () => {
+  const one = [machine('n-1', { room: { cpus: 2, gpus: 0, memGb: 16 } })];
+  const teams = input([], []).teams.map((t) => ({
+    ...t,
+    used: { ...t.used, cpus: t.name === 'blue' ? 4 : 0 },
+  }));
+  const jobs = [job('j-1', { order: 1 }), job('j-2', { crew: 'green', order: 2 })];
+  assert.equal(playRound(input(jobs, one, { teams })).starts[0]?.job, 'j-2');
+  const ranks = [job('j-1', { order: 1 }), job('j-2', { order: 2, priority: 4 })];
+  assert.equal(playRound(input(ranks, one)).starts[0]?.job, 'j-2');
+});
--- /dev/null
+++ b/packages/testkit/rules.test.ts
@@ -0,0 +1,101 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SECOND } from '#wire';
+import { BrokenRule, type MachineFacts, RuleChecker, sampleJob } from './rules.js';
+
+const east: MachineFacts = { host: 'n-1', build: 'small', hall: 'east', loaners: false };
+const west: MachineFacts = { host: 'n-2', build: 'small', hall: 'west', loaners: false };
+const LIMITS = new Map([['blue', { cpus: 6, gpus: 0 }]]);
+
+function checker(change: Parameters<typeof sampleJob>[1] = {}): RuleChecker {
+  const rules = new RuleChecker(LIMITS, 10 * SECOND);
+  rules.submitted(sampleJob('j-1', change));
+  rules.told('j-1', 201, 'pending', 0);
+  return rules;
+}
+
+/** Each rule, broken on purpose by one step: the checker must name it. */
+const BREAKS: [rule: string, step: () => void][] = [
+  [
+    'ran_twice',
+    () => {
+      const rules = checker();
+      rules.began('j-1/0', east, 1);
+      rules.began('j-1/0', west, 2);
+    },
+  ],
+  [
+    'quota',
+    () => {
+      const rules = checker({ Pieces: 4 });
+      for (const i of [0, 1, 2, 3]) rules.began(`j-1/${i}`, east, 1);
+    },
+  ],
+  ['wrong_place', () => checker({ Builds: ['large'] }).began('j-1/0', east, 1)],
+  ['wrong_place', () => checker({ Hall: 'west' }).began('j-1/0', east, 1)],
+  ['wrong_place', () => checker({ Loaners: false }).began('j-1/0', { ...east, loaners: true }, 1)],
+  [
+    'wrong_place',
+    () => {
+      const rules = checker({ SamePlace: true });
+      rules.began('j-1/0', east, 1);
+      rules.began('j-1/1', west, 1);
+    },
+  ],
+  [
+    'wrong_place',
+    () => {
+      const rules = checker({ Scatter: true, Pieces: 3 });
+      for (const i of [0, 1, 2]) rules.began(`j-1/${i}`, east, 1);
+    },
+  ],
+  [
+    'ran_cancelled',
+    () => {
+      const rules = checker();
+      rules.began('j-1/0', east, 1);
+      rules.cancelAsked('j-1');
+      rules.told('j-1', 200, 'withdrawn', SECOND);
+      rules.check(12 * SECOND);
+    },
+  ],
+  [
+    'ran_cancelled',
+    () => {
+      const rules = checker();
+      rules.cancelAsked('j-1');
+      rules.told('j-1', 200, 'withdrawn', SECOND);
+      rules.began('j-1/0', east, 12 * SECOND);
+    },
+  ],
+  ['forgotten', () => checker().told('j-1', 404, null, 1)],
+  ['forgotten', () => checker().told('j-1', 422, null, 1)],
+  ['invented', () => checker().told('j-2', 200, 'pending', 1)],
+  ['not_done', () => checker().told('j-1', 200, 'done', 1)],
+  [
+    'went_back',
+    () => {
+      const rules = checker({ Pieces: 1 });
+      rules.began('j-1/0', east, 1);
+      rules.ended('j-1/0', true);
+      rules.told('j-1', 200, 'done', 2);
+      rules.told('j-1', 200, 'running', 3);
+    },
+  ],
+  ['went_back', () => checker().told('j-1', 200, 'withdrawn', 1)],
+];
+
+for (const [rule, step] of BREAKS) {
+  test(`the checker catches ${rule}`, () => {
+    assert.throws(step, (cause: unknown) => cause instanceof BrokenRule && cause.rule === rule);
+  });
+}
+
+test('the checker lets a plain life of a job pass', () => {
+  const rules = checker({ Pieces: 2 });
+  for (const i of [0, 1]) rules.began(`j-1/${i}`, east, 1);
+  for (const i of [0, 1]) rules.ended(`j-1/${i}`, true);
+  rules.told('j-1', 200, 'done', 3);
+  rules.check(100 * SECOND);
+  assert.deepEqual(rules.unfinished(), []);
+});
--- /dev/null
+++ b/packages/testkit/sim-clock.ts
@@ -0,0 +1,83 @@
+import type { Clock, Micros, Timer } from '#wire';
+
+interface Event {
+  at: Micros;
+  order: number;
+  run: () => void;
+}
+
+/** Simulated time: events in order, each followed by everything that it made ready. */
+export class SimClock {
+  time: Micros = 1_000_000;
+  private heap: Event[] = [];
+  private order = 0;
+
+  at(delay: Micros, run: () => void): Timer {
+    const event = { at: this.time + Math.max(0, Math.round(delay)), order: this.order++, run };
+    this.push(event);
+    return {
+      cancel: () => {
+        event.run = () => undefined;
+      },
+    };
+  }
+
+  /** A process's own view: its steady clock runs a little off, its time of day too; its timers die with it. */
+  view(alive: () => boolean, drift: number, wallOff: Micros): Clock {
+    return {
+      now: () => Math.floor(this.time * (1 + drift)),
+      wall: () => 1_790_000_000_000_000 + this.time + wallOff,
+      after: (delay, run) =>
+        this.at(delay / (1 + drift), () => {
+          if (alive()) run();
+        }),
+    };
+  }
+
+  /** Plays all events up to `until`; `afterEach` runs once all that an event set off has settled. */
+  async run(until: Micros, afterEach: () => void): Promise<void> {
+    for (;;) {
+      const next = this.heap[0];
+      if (!next || next.at > until) break;
+      this.pop();
+      this.time = Math.max(this.time, next.at);
+      next.run();
+      // Promises settle in microtasks; one turn of the event loop lets all of them run.
+      await new Promise<void>((resolve) => setImmediate(resolve));
+      afterEach();
+    }
+    this.time = until;
+  }
+
+  private before(a: Event, b: Event): boolean {
+    return a.at < b.at || (a.at === b.at && a.order < b.order);
+  }
+
+  private push(event: Event): void {
+    const heap = this.heap;
+    let i = heap.push(event) - 1;
+    while (i > 0) {
+      const up = (i - 1) >> 1;
+      if (!this.before(event, heap[up] as Event)) break;
+      heap[i] = heap[up] as Event;
+      i = up;
+    }
+    heap[i] = event;
+  }
+
+  private pop(): void {
+    const heap = this.heap;
+    const last = heap.pop();
+    if (!last || heap.length === 0) return;
+    let i = 0;
+    for (;;) {
+      let child = 2 * i + 1;
+      if (child >= heap.length) break;
+      if (child + 1 < heap.length && this.before(heap[child + 1] as Event, heap[child] as Event)) child++;
+      if (!this.before(heap[child] as Event, last)) break;
+      heap[i] = heap[child] as Event;
+      i = child;
+    }
+    heap[i] = last;
+  }
+}
--- /dev/null
+++ b/packages/testkit/sim-cloud.ts
@@ -0,0 +1,132 @@
+import { type Fields, isFields, type MachineType, type Micros, SECOND } from '#wire';
+import type { MachineFacts } from './rules.js';
+import type { SimClock } from './sim-clock.js';
+import type { Handler, Served } from './sim-net.js';
+
+export interface CloudHost extends MachineFacts {
+  state: 'starting' | 'running' | 'died' | 'failed';
+  rentedAt: Micros;
+}
+
+interface Snapshot {
+  at: Micros;
+  rows: Fields[];
+}
+
+/** The cloud: rents machines, whose workers `boot` starts and `destroy` ends. */
+export class SimCloud {
+  readonly hosts = new Map<string, CloudHost>();
+  outage = false;
+  private readonly answers = new Map<string, string[]>();
+  private snapshots: Snapshot[] = [];
+  private count = 0;
+  deletedBusy = 0;
+
+  constructor(
+    private readonly clock: SimClock,
+    private readonly random: () => number,
+    private readonly types: readonly MachineType[],
+    /** How many machines a type, zone and kind holds. */
+    private readonly capacity: number,
+    private readonly listLag: Micros,
+    private readonly boot: (host: CloudHost) => void,
+    private readonly destroy: (host: CloudHost) => void,
+  ) {
+    this.snap();
+  }
+
+  readonly handler: Handler = (_from, method, path, body) => {
+    if (this.outage) return { status: 503, body: { error: 'trouble' } };
+    const url = new URL(path, 'http://cloud');
+    const fields = isFields(body) ? body : {};
+    if (url.pathname === '/machine_types') return { status: 200, body: { Builds: this.types } };
+    if (method === 'POST' && url.pathname === '/rentals') return this.rent(fields);
+    if (method === 'POST' && url.pathname === '/rentals/delete')
+      return this.remove(fields['Hosts'] as string[]);
+    return this.list(url.searchParams);
+  };
+
+  /** The machine stops with all that is on it; the list shows it only later. */
+  die(host: CloudHost): void {
+    this.destroy(host);
+    host.state = 'died';
+    this.clock.at(30 * SECOND, () => {
+      if (this.hosts.has(host.host)) host.state = 'failed';
+    });
+  }
+
+  /** Taken back by the cloud, with all that is on it. */
+  reclaim(host: CloudHost): void {
+    this.destroy(host);
+    this.hosts.delete(host.host);
+  }
+
+  private rent(body: Fields): Served {
+    const name = String(body['Hire']);
+    const known = this.answers.get(name);
+    if (known) return { status: 200, body: { Hosts: known } };
+    const facts = {
+      build: String(body['Build']),
+      hall: String(body['Hall']),
+      loaners: body['Loaners'] === true,
+    };
+    const taken = [...this.hosts.values()].filter(
+      (h) => h.build === facts.build && h.hall === facts.hall && h.loaners === facts.loaners,
+    ).length;
+    const number = Math.min(Number(body['Number']), this.capacity - taken);
+    if (number <= 0) return { status: 503, body: { error: 'no capacity' } };
+    const Hosts: string[] = [];
+    for (let i = 0; i < number; i++) {
+      const name = `n-${String(this.count++).padStart(6, '0')}`;
+      const host: CloudHost = { host: name, ...facts, state: 'starting', rentedAt: this.clock.time };
+      this.hosts.set(name, host);
+      Hosts.push(name);
+      const never = this.random() < 0.05;
+      const boot = (this.types.find((t) => t.Sku === facts.build)?.BootS ?? 10) * SECOND;
+      if (never) continue;
+      this.clock.at(boot * (0.6 + this.random() * 0.9), () => {
+        if (this.hosts.get(name) !== host) return;
+        host.state = 'running';
+        this.boot(host);
+      });
+    }
+    this.answers.set(name, Hosts);
+    return { status: 200, body: { Hosts } };
+  }
+
+  private remove(names: string[]): Served {
+    for (const name of names) {
+      const host = this.hosts.get(name);
+      if (!host) continue;
+      this.destroy(host);
+      this.hosts.delete(name);
+    }
+    return { status: 200, body: {} };
+  }
+
+  private list(query: URLSearchParams): Served {
+    const lag = this.listLag * (1 + (this.random() < 0.1 ? 1 : 0));
+    const old = this.snapshots.filter((s) => s.at <= this.clock.time - lag).at(-1);
+    const after = query.get('After') ?? '';
+    const rows = (old?.rows ?? []).filter((r) => String(r['Uid']) > after);
+    const limit = Number(query.get('Limit') ?? 500);
+    return { status: 200, body: { Hosts: rows.slice(0, limit), More: rows.length > limit } };
+  }
+
+  private snap(): void {
+    const rows = [...this.hosts.values()].map((h) => ({
+      Uid: h.host,
+      Endpoint: '',
+      Build: h.build,
+      Hall: h.hall,
+      Loaners: h.loaners,
+      Status: h.state === 'died' ? 'running' : h.state,
+      AgeS: (this.clock.time - h.rentedAt) / SECOND,
+    }));
+    this.snapshots.push({ at: this.clock.time, rows });
+    this.snapshots = this.snapshots.filter((s) => s.at > this.clock.time - 4 * this.listLag - 5 * SECOND);
+    this.clock.at(SECOND, () => {
+      this.snap();
+    });
+  }
+}
--- /dev/null
+++ b/packages/testkit/sim-net.ts
@@ -0,0 +1,129 @@
+import {
+  type Caller,
+  decode,
+  encode,
+  type Fields,
+  isFields,
+  type Method,
+  type Micros,
+  MS,
+  type Reply,
+  SECOND,
+} from '#wire';
+import type { SimClock } from './sim-clock.js';
+
+export interface Served {
+  status: number;
+  body: unknown;
+}
+/** Answers now, later, or never (a promise that stays open). */
+export type Handler = (from: string, method: Method, path: string, body: unknown) => Promise<Served> | Served;
+
+export interface Weather {
+  /** Chance that a request or an answer is lost or held back. */
+  trouble: number;
+  /** How long held requests are held at most. */
+  hold: Micros;
+}
+
+/**
+ * The network between simulated parties: delays, answers that get lost, requests that are carried out long
+ * after their sender gave up, and cuts between places.
+ */
+export class SimNet {
+  weather: Weather = { trouble: 0, hold: 0 };
+  private readonly handlers = new Map<string, { handler: Handler; place: string | null }>();
+  private readonly cuts = new Set<string>();
+
+  constructor(
+    private readonly clock: SimClock,
+    private readonly random: () => number,
+  ) {}
+
+  serve(endpoint: string, place: string | null, handler: Handler): void {
+    this.handlers.set(endpoint, { handler, place });
+  }
+
+  unplug(endpoint: string): void {
+    this.handlers.delete(endpoint);
+  }
+
+  /** Cuts two zones from each other. The region's own services (place null) stay reachable. */
+  cut(a: string, b: string, on: boolean): void {
+    for (const key of [`${a}|${b}`, `${b}|${a}`]) {
+      if (on) this.cuts.add(key);
+      else this.cuts.delete(key);
+    }
+  }
+
+  /** A caller for one party. Once `alive` is false nothing reaches it any more. */
+  caller(from: string, place: string | null, alive: () => boolean): Caller {
+    return (endpoint, method, path, body, timeout) =>
+      new Promise<Reply>((resolve, reject) => {
+        let over = false;
+        const finish = (act: () => void): void => {
+          if (over) return;
+          over = true;
+          if (alive()) act();
+        };
+        this.clock.at(timeout, () => {
+          finish(() => {
+            reject(new Error('timeout'));
+          });
+        });
+        const wire = body === undefined ? undefined : decode(encode(body));
+        this.carry(from, place, endpoint, method, path, wire, (served) => {
+          finish(() => {
+            if (!served) reject(new Error('refused'));
+            else {
+              const answer = decode(encode(served.body));
+              resolve({ status: served.status, body: isFields(answer) ? answer : ({} as Fields) });
+            }
+          });
+        });
+      });
+  }
+
+  private carry(
+    from: string,
+    place: string | null,
+    endpoint: string,
+    method: Method,
+    path: string,
+    body: unknown,
+    answer: (served: Served | null) => void,
+  ): void {
+    const there = this.handlers.get(endpoint);
+    if (this.isCut(place, there?.place ?? null)) return;
+    const luck = this.random();
+    const { trouble, hold } = this.weather;
+    const lateRequest = luck < trouble / 3;
+    const lostAnswer = !lateRequest && luck < (2 * trouble) / 3;
+    const lostRequest = !lateRequest && !lostAnswer && luck < trouble;
+    if (lostRequest) return;
+    const delay = lateRequest ? this.random() * hold : this.latency();
+    this.clock.at(delay, () => {
+      const now = this.handlers.get(endpoint);
+      if (!now) {
+        answer(null);
+        return;
+      }
+      void Promise.resolve(now.handler(from, method, path, body)).then((served) => {
+        if (lostAnswer || this.isCut(place, now.place)) return;
+        this.clock.at(this.latency(), () => {
+          answer(served);
+        });
+      });
+    });
+  }
+
+  private isCut(a: string | null, b: string | null): boolean {
+    return a !== null && b !== null && this.cuts.has(`${a}|${b}`);
+  }
+
+  private latency(): Micros {
+    return this.random() < 0.02
+      ? Math.floor(this.random() * SECOND * 0.3)
+      : Math.floor((1 + this.random() * 4) * MS);
+  }
+}
--- /dev/null
+++ b/packages/testkit/sim-store.ts
@@ -0,0 +1,217 @@
+import { type Fields, isFields, type Method, type Micros, MS, SECOND } from '#wire';
+import type { SimClock } from './sim-clock.js';
+import type { Handler, Served } from './sim-net.js';
+
+interface Row {
+  value: Fields;
+  stamp: number;
+  permit: number | null;
+}
+
+interface StoreLimits {
+  rps: number;
+  writeRps: number;
+  txnOps: number;
+  valueBytes: number;
+}
+
+interface Watch {
+  from: string;
+  prefix: string;
+  after: number;
+  answer: (served: Served) => void;
+}
+
+/** The state service, as its page describes it. */
+export class SimStore {
+  readonly rows = new Map<string, Row>();
+  epoch = 0;
+  outage = false;
+  /** Nodes that alone get 503. */
+  readonly shunned = new Set<string>();
+  /** Called with every transaction that is applied, before it is. */
+  beforeApply: (guards: Fields[], writes: Fields[]) => void = () => undefined;
+  private readonly grants = new Map<number, { life: Micros; until: Micros }>();
+  private nextGrant = 1;
+  private history: { path: string; value: Fields | null; stamp: number }[] = [];
+  private forgotten = 0;
+  private watches: Watch[] = [];
+  private requests = { tokens: 0, at: 0 };
+  private changes = { tokens: 0, at: 0 };
+
+  constructor(
+    private readonly clock: SimClock,
+    private readonly limits: StoreLimits,
+  ) {
+    this.requests.tokens = limits.rps;
+    this.changes.tokens = limits.writeRps;
+    this.sweep();
+  }
+
+  setOutage(on: boolean): void {
+    this.outage = on;
+    // After an outage every grant gets its full time again.
+    if (!on) for (const g of this.grants.values()) g.until = this.clock.time + g.life;
+    if (!on) this.wakeWatches();
+  }
+
+  readonly handler: Handler = (from, method, path, body) => {
+    if (!this.admit(this.requests, this.limits.rps, 1)) return { status: 429, body: {} };
+    if (this.outage || this.shunned.has(from)) return { status: 503, body: {} };
+    return this.route(from, method, path, body);
+  };
+
+  private route(from: string, method: Method, path: string, body: unknown): Served | Promise<Served> {
+    const url = new URL(path, 'http://state');
+    const fields = isFields(body) ? body : {};
+    if (method === 'GET' && url.pathname === '/store') return this.list(url.searchParams);
+    if (method === 'GET' && url.pathname === '/follow') return this.follow(from, url.searchParams);
+    if (method === 'GET' && url.pathname.startsWith('/store/')) return this.get(url.pathname.slice(7));
+    if (method === 'POST' && url.pathname === '/commit') return this.commit(fields);
+    if (method === 'POST' && url.pathname === '/grants') {
+      const life = Number(fields['LifeMs']) * MS;
+      const id = this.nextGrant++;
+      this.grants.set(id, { life, until: this.clock.time + life });
+      return { status: 200, body: { Permit: id } };
+    }
+    const grant = /^\/grants\/(\d+)(\/renew)?$/.exec(url.pathname);
+    if (grant) return this.grant(Number(grant[1]), method);
+    return { status: 400, body: {} };
+  }
+
+  private grant(id: number, method: Method): Served {
+    const grant = this.grants.get(id);
+    if (!grant) return { status: 404, body: {} };
+    if (method === 'DELETE') this.expire(id);
+    else grant.until = this.clock.time + grant.life;
+    return { status: 200, body: {} };
+  }
+
+  private get(key: string): Served {
+    const row = this.rows.get(key);
+    if (!row) return { status: 404, body: { Epoch: this.epoch } };
+    return { status: 200, body: { Path: key, V: row.value, Stamp: row.stamp, Permit: row.permit } };
+  }
+
+  private list(query: URLSearchParams): Served {
+    const prefix = query.get('Starts') ?? '';
+    const after = query.get('After') ?? '';
+    const limit = Number(query.get('Limit') ?? 1000);
+    const keys = [...this.rows.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    const Rows = keys.slice(0, limit).map((k) => {
+      const row = this.rows.get(k) as Row;
+      return { Path: k, V: row.value, Stamp: row.stamp };
+    });
+    return { status: 200, body: { Rows, More: keys.length > limit, Epoch: this.epoch } };
+  }
+
+  private commit(body: Fields): Served {
+    const guards = (body['Guards'] as Fields[] | undefined) ?? [];
+    const writes = (body['Writes'] as Fields[] | undefined) ?? [];
+    if (writes.length > this.limits.txnOps || guards.length > 4 * this.limits.txnOps)
+      return { status: 400, body: {} };
+    if (!this.admit(this.changes, this.limits.writeRps, writes.length)) return { status: 429, body: {} };
+    for (const w of writes) {
+      if (w['Set'] === undefined) continue;
+      if (Buffer.byteLength(JSON.stringify(w['V'])) > this.limits.valueBytes) {
+        throw new Error(`value of ${String(w['Set'])} is over the limit`);
+      }
+      const permit = w['Permit'];
+      if (permit !== undefined && permit !== null && !this.grants.has(Number(permit))) {
+        return { status: 400, body: { error: 'no such lease' } };
+      }
+    }
+    const failed = guards
+      .filter((g) => (this.rows.get(String(g['Path']))?.stamp ?? 0) !== Number(g['Stamp']))
+      .map((g) => g['Path']);
+    if (failed.length > 0) return { status: 409, body: { failed, Epoch: this.epoch } };
+    this.beforeApply(guards, writes);
+    if (writes.length > 0) {
+      this.epoch++;
+      for (const w of writes) {
+        if (w['Set'] !== undefined) {
+          const permit = w['Permit'];
+          this.put(
+            String(w['Set']),
+            w['V'] as Fields,
+            permit === undefined || permit === null ? null : Number(permit),
+          );
+        } else this.drop(String(w['Remove']));
+      }
+      this.wakeWatches();
+    }
+    return { status: 200, body: { Epoch: this.epoch } };
+  }
+
+  private put(path: string, value: Fields, permit: number | null): void {
+    this.rows.set(path, { value, stamp: this.epoch, permit });
+    this.remember({ path, value, stamp: this.epoch });
+  }
+
+  private drop(path: string): void {
+    if (this.rows.delete(path)) this.remember({ path, value: null, stamp: this.epoch });
+  }
+
+  private remember(change: { path: string; value: Fields | null; stamp: number }): void {
+    this.history.push(change);
+    if (this.history.length > 10_000) this.forgotten = this.history.shift()?.stamp ?? this.forgotten;
+  }
+
+  private follow(from: string, query: URLSearchParams): Promise<Served> | Served {
+    const after = Number(query.get('After'));
+    const prefix = query.get('Starts') ?? '';
+    if (after < this.forgotten) return { status: 410, body: {} };
+    return new Promise((resolve) => {
+      const watch: Watch = { from, prefix, after, answer: resolve };
+      this.watches.push(watch);
+      this.clock.at(Number(query.get('BlockMs') ?? 0) * MS, () => {
+        if (this.watches.includes(watch) && !this.outage) this.reply(watch);
+      });
+      this.wakeWatches();
+    });
+  }
+
+  private wakeWatches(): void {
+    if (this.outage) return;
+    for (const w of [...this.watches]) {
+      if (this.shunned.has(w.from)) continue;
+      if (this.history.some((c) => c.stamp > w.after && c.path.startsWith(w.prefix))) this.reply(w);
+    }
+  }
+
+  private reply(watch: Watch): void {
+    this.watches = this.watches.filter((w) => w !== watch);
+    const News = this.history
+      .filter((c) => c.stamp > watch.after && c.path.startsWith(watch.prefix))
+      .map((c) =>
+        c.value ? { Set: c.path, V: c.value, Stamp: c.stamp } : { Remove: c.path, Stamp: c.stamp },
+      );
+    watch.answer({ status: 200, body: { Epoch: this.epoch, News } });
+  }
+
+  private expire(id: number): void {
+    this.grants.delete(id);
+    const keys = [...this.rows].filter(([, r]) => r.permit === id).map(([k]) => k);
+    if (keys.length === 0) return;
+    this.epoch++;
+    for (const key of keys) this.drop(key);
+    this.wakeWatches();
+  }
+
+  private sweep(): void {
+    if (!this.outage) {
+      for (const [id, g] of this.grants) if (g.until < this.clock.time) this.expire(id);
+    }
+    this.clock.at(50 * MS, () => {
+      this.sweep();
+    });
+  }
+
+  private admit(bucket: { tokens: number; at: Micros }, rate: number, cost: number): boolean {
+    bucket.tokens = Math.min(rate, bucket.tokens + ((this.clock.time - bucket.at) * rate) / SECOND);
+    bucket.at = this.clock.time;
+    if (bucket.tokens < cost) return false;
+    bucket.tokens -= cost;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/testkit/sim-worker.ts
@@ -0,0 +1,243 @@
+import {
+  type Caller,
+  type Fields,
+  fromSeconds,
+  isFields,
+  type Micros,
+  MS,
+  SECOND,
+  type Submission,
+} from '#wire';
+import type { MachineFacts, RuleChecker } from './rules.js';
+import type { SimClock } from './sim-clock.js';
+
+interface Task {
+  piece: string;
+  try: number;
+  status: 'pulling' | 'running' | 'saving' | 'exited';
+  cause: string | null;
+  stored: boolean;
+}
+
+export interface WorkerLimits {
+  report: Micros;
+  lease: Micros;
+}
+
+export interface WorkerWorld {
+  clock: SimClock;
+  random: () => number;
+  rules: RuleChecker;
+  job: (id: string) => Submission | undefined;
+  /** Addresses of the controller nodes by name. */
+  nodes: { member: string; endpoint: string }[];
+  caller: (alive: () => boolean) => Caller;
+  limits: WorkerLimits;
+  capacity: { cpus: number; gpus: number; memGb: number };
+  /** Every task fails here. */
+  faulty: boolean;
+}
+
+/** A machine's worker, as the protocol describes it. */
+export class SimWorker {
+  alive = true;
+  /** Executes nothing while it hangs, but may go on later. */
+  hanging = false;
+  recallS: number | null = null;
+  private shift = 1;
+  private tally = 0;
+  private baton = 0;
+  private leaseFrom: Micros;
+  private node = 0;
+  private changed = false;
+  private lastReport: Micros = -Infinity;
+  private inFlight = false;
+  private readonly tasks = new Map<string, Task>();
+  private readonly images = new Set<string>();
+  private readonly call: Caller;
+
+  constructor(
+    readonly machine: MachineFacts,
+    private readonly world: WorkerWorld,
+  ) {
+    this.leaseFrom = world.clock.time;
+    this.node = Math.floor(world.random() * world.nodes.length);
+    this.call = world.caller(() => this.alive);
+    this.tick();
+  }
+
+  /** The machine is gone, with all that is on it. */
+  destroy(): void {
+    if (!this.alive) return;
+    this.alive = false;
+    this.killAll();
+  }
+
+  private tick(): void {
+    if (!this.alive) return;
+    const { clock, limits, random } = this.world;
+    if (!this.hanging) {
+      if (clock.time - this.leaseFrom > limits.lease) this.loseLease();
+      const due = this.lastReport + limits.report * (0.75 + random() * 0.5);
+      const early = this.changed && clock.time - this.lastReport >= 500 * MS;
+      if (!this.inFlight && (clock.time >= due || early)) void this.report();
+    } else if (clock.time - this.leaseFrom > limits.lease) {
+      this.loseLease();
+    }
+    clock.at(100 * MS, () => {
+      this.tick();
+    });
+  }
+
+  private loseLease(): void {
+    this.killAll();
+    this.shift++;
+    this.tally = 0;
+    this.leaseFrom = this.world.clock.time;
+    this.changed = true;
+  }
+
+  private killAll(): void {
+    for (const t of this.tasks.values()) this.off(t);
+    this.tasks.clear();
+  }
+
+  private async report(): Promise<void> {
+    const { clock, nodes } = this.world;
+    this.inFlight = true;
+    this.changed = false;
+    this.lastReport = clock.time;
+    const sentAt = clock.time;
+    const shift = this.shift;
+    const node = nodes[this.node % nodes.length] as { member: string; endpoint: string };
+    const body = {
+      ...{
+        Host: this.machine.host,
+        Endpoint: '10.1.0.1:9000',
+        Build: this.machine.build,
+        Hall: this.machine.hall,
+      },
+      ...{ Loaners: this.machine.loaners, Shift: shift, Tally: ++this.tally, Baton: this.baton },
+      RecallS: this.recallS,
+      Pieces: [...this.tasks.values()].map((t) => ({
+        ...{ Piece: t.piece, Try: t.try, Status: t.status },
+        ...(t.cause === null ? {} : { Cause: t.cause, Stored: t.stored }),
+      })),
+    };
+    const reply = await this.call(node.endpoint, 'POST', '/v1/report', body, 4 * SECOND).catch(() => null);
+    this.inFlight = false;
+    if (reply?.status === 421) {
+      const at = nodes.findIndex((n) => n.member === reply.body['Foreman']);
+      if (at >= 0 && at !== this.node) {
+        this.node = at;
+        this.changed = true;
+        return;
+      }
+    }
+    if (reply?.status !== 200) {
+      this.node = (this.node + 1) % nodes.length;
+      this.lastReport = clock.time - this.world.limits.report + SECOND;
+      return;
+    }
+    this.obey(reply.body, sentAt, shift);
+  }
+
+  private obey(answer: Fields, sentAt: Micros, shift: number): void {
+    const token = Number(answer['Baton'] ?? 0);
+    if (token < this.baton || shift !== this.shift || this.hanging) return;
+    if (token > this.baton) this.changed = true;
+    this.baton = token;
+    this.leaseFrom = Math.max(this.leaseFrom, sentAt);
+    const orders = Array.isArray(answer['Orders']) ? answer['Orders'].filter(isFields) : [];
+    for (const o of orders) this.execute(String(o['Verb']), String(o['Piece']), Number(o['Try']), o);
+  }
+
+  private execute(verb: string, piece: string, attempt: number, order: Fields): void {
+    const key = `${piece}#${attempt}`;
+    const task = this.tasks.get(key);
+    if (verb === 'launch') {
+      if (!task) this.launch(key, piece, attempt);
+    } else if (verb === 'halt') {
+      if (task) this.halt(task, Number(order['WindDownS'] ?? 0));
+    } else if (task?.status === 'exited') {
+      this.tasks.delete(key);
+      this.changed = true;
+    }
+  }
+
+  private launch(key: string, piece: string, attempt: number): void {
+    const { clock, random } = this.world;
+    const spec = this.world.job(piece.slice(0, piece.lastIndexOf('/')));
+    const task: Task = { piece, try: attempt, status: 'pulling', cause: null, stored: false };
+    const other = [...this.tasks.values()].some((t) => t.piece === piece && t.status !== 'exited');
+    this.tasks.set(key, task);
+    this.changed = true;
+    if (!spec) this.exit(task, 'unknown');
+    else if (other) this.exit(task, 'in_use');
+    else if (!this.hasRoom()) this.exit(task, 'full');
+    else {
+      const fetch = this.images.has(spec.Bundle) ? 0 : SECOND * spec.SizeGb * (0.7 + random() * 0.6);
+      clock.at(fetch, () => {
+        if (!this.alive || this.tasks.get(key) !== task || task.status !== 'pulling') return;
+        this.images.add(spec.Bundle);
+        this.begin(key, task, spec);
+      });
+    }
+  }
+
+  private begin(key: string, task: Task, spec: Submission): void {
+    const { clock, rules, random } = this.world;
+    rules.began(task.piece, this.machine, clock.time);
+    task.status = 'running';
+    this.changed = true;
+    const known = rules.isDone(task.piece);
+    const run = known ? 0 : fromSeconds(spec.ExpectS * (0.6 + random() * 0.8));
+    const fails = this.world.faulty || spec.Lane === 'broken';
+    const finish = (): void => {
+      if (!this.alive || this.tasks.get(key) !== task || task.status !== 'running') return;
+      if (this.hanging) clock.at(500 * MS, finish);
+      else this.exit(task, fails ? 'error' : 'done');
+    };
+    clock.at(fails ? run * 0.2 : run, finish);
+  }
+
+  private halt(task: Task, windDownS: number): void {
+    const spec = this.world.job(task.piece.slice(0, task.piece.lastIndexOf('/')));
+    if (task.status === 'exited') return;
+    if (task.status === 'running' && spec && spec.BookmarkS > 0 && windDownS >= spec.StashS) {
+      task.status = 'saving';
+      this.changed = true;
+      this.world.clock.at(fromSeconds(spec.StashS), () => {
+        if (this.alive && task.status === 'saving') {
+          task.stored = true;
+          this.exit(task, 'halted');
+        }
+      });
+    } else if (task.status !== 'saving' || windDownS === 0) this.exit(task, 'halted');
+  }
+
+  private exit(task: Task, cause: string): void {
+    this.off(task);
+    if (cause === 'done') this.world.rules.ended(task.piece, true);
+    task.status = 'exited';
+    task.cause = cause;
+    this.changed = true;
+  }
+
+  private off(task: Task): void {
+    if (task.status === 'running' || task.status === 'saving') this.world.rules.ended(task.piece, false);
+  }
+
+  /** Room for all that is on it, the task just put there included. */
+  private hasRoom(): boolean {
+    const left = { ...this.world.capacity };
+    for (const t of this.tasks.values()) {
+      if (t.status === 'exited') continue;
+      const other = this.world.job(t.piece.slice(0, t.piece.lastIndexOf('/')));
+      left.cpus -= other?.Cpus ?? 0;
+      left.gpus -= other?.Gpus ?? 0;
+      left.memGb -= other?.MemGb ?? 0;
+    }
+    return left.cpus > -1e-6 && left.gpus > -1e-6 && left.memGb > -1e-6;
+  }
+}
--- /dev/null
+++ b/packages/testkit/sim-world.ts
@@ -0,0 +1,272 @@
+import { Controller } from '#daemon';
+import { LEAD, LOG, type Logger } from '#cluster';
+import type { Settings } from '#settings';
+import {
+  type Fields,
+  type JobStatus,
+  type MachineType,
+  type Micros,
+  MS,
+  SECOND,
+  type Submission,
+} from '#wire';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { BrokenRule, RuleChecker, sampleJob } from './rules.js';
+import { SimClock } from './sim-clock.js';
+import { type CloudHost, SimCloud } from './sim-cloud.js';
+import { SimNet } from './sim-net.js';
+import { SimStore } from './sim-store.js';
+import { SimWorker } from './sim-worker.js';
+
+const ZONES = ['east', 'west'];
+const STATE = '10.2.0.1:2379';
+const CLOUD = '10.2.0.2:8443';
+
+/** A small deployment for tests; every number differs from any real one on purpose. */
+export function sampleSettings(index: number, count: number): Settings {
+  const zone = (i: number): string => ZONES[i % ZONES.length] as string;
+  const peers = [...Array(count).keys()].filter((i) => i !== index);
+  return {
+    member: `node-${index}`,
+    domain: zone(index),
+    bind: `10.0.0.${index}:80`,
+    clusterListen: `10.0.0.${index}:81`,
+    peers: peers.map((i) => ({ member: `node-${i}`, domain: zone(i), endpoint: `10.0.0.${i}:81` })),
+    cloud: CLOUD,
+    state: STATE,
+    initialSize: count,
+    zones: ZONES,
+    timeBound: 50 * MS,
+    teams: [
+      { name: 'blue', cpus: 8, cpusMax: 20, gpus: 0, gpusMax: 0 },
+      { name: 'green', cpus: 8, cpusMax: 16, gpus: 0, gpusMax: 2 },
+    ],
+    report: 2 * SECOND,
+    lease: 9 * SECOND,
+    cancel: 25 * SECOND,
+    stateRps: 100,
+    stateWriteRps: 40,
+    valueBytes: 2048,
+    txnOps: 6,
+    cloudRps: 10,
+    listLag: 3 * SECOND,
+    sockets: 500,
+  };
+}
+
+export const SAMPLE_TYPES: MachineType[] = [
+  {
+    ...{ Sku: 'small', Cpus: 4, Gpus: 0, MemGb: 16, CacheGb: 40, FetchGbPerS: 1, Price: 1, LowPrice: 0.3 },
+    ...{ BootS: 6, Halls: ZONES },
+  },
+  {
+    ...{ Sku: 'large', Cpus: 12, Gpus: 2, MemGb: 64, CacheGb: 80, FetchGbPerS: 1, Price: 4, LowPrice: 1.2 },
+    ...{ BootS: 8, Halls: ['east'] },
+  },
+];
+
+interface Node {
+  controller: Controller | null;
+  index: number;
+  alive: { on: boolean };
+}
+
+export interface WorldOptions {
+  seed: number;
+  nodes?: number;
+  log?: Logger;
+}
+
+const SILENT: Logger = { debug: () => undefined, info: () => undefined, error: () => undefined };
+
+/** Controllers, state service, cloud, workers and users on one simulated clock, with the rules watched. */
+export class SimWorld {
+  readonly clock = new SimClock();
+  readonly random: () => number;
+  readonly net: SimNet;
+  readonly store: SimStore;
+  readonly cloud: SimCloud;
+  readonly rules: RuleChecker;
+  readonly workers = new Map<string, SimWorker>();
+  readonly specs = new Map<string, Submission>();
+  /** Answers the users got, by job: the last state each was told. */
+  readonly told = new Map<string, JobStatus>();
+  private readonly nodes: Node[] = [];
+  private starts = 0;
+  private faultyShare = 0;
+  /** The first thing that went wrong in a callback; thrown by {@link run}. */
+  private broken: unknown = null;
+
+  constructor(private readonly options: WorldOptions) {
+    const generator = xoroshiro128plus(options.seed);
+    this.random = () => (generator.next() >>> 0) / 4294967296;
+    const settings = sampleSettings(0, 1);
+    this.net = new SimNet(this.clock, this.random);
+    this.store = new SimStore(this.clock, {
+      rps: settings.stateRps,
+      writeRps: settings.stateWriteRps,
+      txnOps: settings.txnOps,
+      valueBytes: settings.valueBytes,
+    });
+    this.store.beforeApply = (guards, writes) => {
+      this.checkOwnership(guards, writes);
+    };
+    const limits = new Map(settings.teams.map((t) => [t.name, { cpus: t.cpusMax, gpus: t.gpusMax }]));
+    this.rules = new RuleChecker(limits, settings.cancel);
+    this.cloud = new SimCloud(
+      this.clock,
+      this.random,
+      SAMPLE_TYPES,
+      4,
+      settings.listLag,
+      (host) => {
+        this.bootWorker(host);
+      },
+      (host) => {
+        this.workers.get(host.host)?.destroy();
+        this.workers.delete(host.host);
+      },
+    );
+    this.net.serve(STATE, null, (...args) => this.guarded(() => this.store.handler(...args)));
+    this.net.serve(CLOUD, null, this.cloud.handler);
+    for (let i = 0; i < (options.nodes ?? 3); i++) {
+      this.nodes.push({ controller: null, index: i, alive: { on: false } });
+      this.startNode(i);
+    }
+  }
+
+  get nodeCount(): number {
+    return this.nodes.length;
+  }
+
+  setFaulty(share: number): void {
+    this.faultyShare = share;
+  }
+
+  startNode(index: number): void {
+    const node = this.nodes[index] as Node;
+    if (node.alive.on) return;
+    const alive = { on: true };
+    node.alive = alive;
+    const settings = sampleSettings(index, this.options.nodes ?? 3);
+    const isAlive = (): boolean => alive.on;
+    const drift = (this.random() - 0.5) * 0.001;
+    const wallOff = Math.floor((this.random() - 0.5) * 100 * MS);
+    const controller = new Controller({
+      settings,
+      clock: this.clock.view(isAlive, drift, wallOff),
+      random: this.random,
+      incarnation: `i${++this.starts}`,
+      call: this.net.caller(settings.member, settings.domain, isAlive),
+      log: this.options.log ?? SILENT,
+    });
+    node.controller = controller;
+    controller.start();
+    this.net.serve(settings.bind, settings.domain, async (_from, method, path, body) => {
+      const answer =
+        path === '/v1/report'
+          ? await controller.report(body)
+          : path === '/submissions' && method === 'POST'
+            ? await controller.users.submit(body)
+            : method === 'POST'
+              ? await controller.users.withdraw(path.split('/')[2] ?? '')
+              : await controller.users.show(path.split('/')[2] ?? '');
+      return alive.on ? answer : await new Promise(() => undefined);
+    });
+  }
+
+  killNode(index: number): void {
+    const node = this.nodes[index] as Node;
+    if (!node.alive.on) return;
+    node.alive.on = false;
+    node.controller = null;
+    this.net.unplug(sampleSettings(index, this.nodes.length).bind);
+  }
+
+  /** Submits a job as a user does: again and again until it is taken, then polls until it is over. */
+  submit(spec: Submission, cancelAfter: Micros | null = null): void {
+    this.specs.set(spec.Uid, spec);
+    this.rules.submitted(spec);
+    void this.userLife(spec, cancelAfter);
+  }
+
+  async run(duration: Micros): Promise<void> {
+    await this.clock.run(this.clock.time + duration, () => {
+      if (this.broken !== null) throw this.broken;
+      this.rules.check(this.clock.time);
+    });
+  }
+
+  private async userLife(spec: Submission, cancelAfter: Micros | null): Promise<void> {
+    const call = this.net.caller(`user-${spec.Uid}`, null, () => true);
+    const began = this.clock.time;
+    const pause = (d: Micros): Promise<void> => new Promise((done) => this.clock.at(d, done));
+    const ask = async (method: 'GET' | 'POST', path: string, body?: unknown): Promise<number> => {
+      const endpoint = `10.0.0.${Math.floor(this.random() * this.nodes.length)}:80`;
+      const reply = await call(endpoint, method, path, body, 2 * SECOND).catch(() => null);
+      if (!reply) return 0;
+      const state = (reply.body['Status'] as JobStatus | undefined) ?? null;
+      this.guarded(() => {
+        this.rules.told(spec.Uid, reply.status, state, this.clock.time);
+      });
+      if (state) this.told.set(spec.Uid, state);
+      return reply.status;
+    };
+    for (;;) {
+      const status = await ask('POST', '/submissions', spec);
+      if (status === 200 || status === 201) break;
+      if (status === 400 || status === 422) return;
+      await pause(SECOND);
+    }
+    for (;;) {
+      await pause(3 * SECOND);
+      const state = this.told.get(spec.Uid);
+      if (state === 'done' || state === 'withdrawn') {
+        // Long after the end a repeat of the submission still gets the same answer.
+        await pause(20 * SECOND);
+        await ask('POST', '/submissions', spec);
+        return;
+      }
+      if (cancelAfter !== null && this.clock.time > began + cancelAfter) {
+        this.rules.cancelAsked(spec.Uid);
+        await ask('POST', `/submissions/${spec.Uid}/withdraw`);
+      } else await ask('GET', `/submissions/${spec.Uid}`);
+    }
+  }
+
+  private bootWorker(host: CloudHost): void {
+    const type = SAMPLE_TYPES.find((t) => t.Sku === host.build) as MachineType;
+    const worker = new SimWorker(host, {
+      clock: this.clock,
+      random: this.random,
+      rules: this.rules,
+      job: (id) => this.specs.get(id),
+      nodes: this.nodes.map((n) => ({ member: `node-${n.index}`, endpoint: `10.0.0.${n.index}:80` })),
+      caller: (alive) => this.net.caller(host.host, host.hall, alive),
+      limits: sampleSettings(0, 1),
+      capacity: { cpus: type.Cpus, gpus: type.Gpus, memGb: type.MemGb },
+      faulty: this.random() < this.faultyShare,
+    });
+    this.workers.set(host.host, worker);
+  }
+
+  /** No record of the log lands without a guard on a lead that stands. */
+  private checkOwnership(guards: Fields[], writes: Fields[]): void {
+    if (!writes.some((w) => String(w['Set'] ?? '').startsWith(LOG))) return;
+    const lead = this.store.rows.get(LEAD);
+    if (!lead || !guards.some((g) => g['Path'] === LEAD && Number(g['Stamp']) === lead.stamp)) {
+      throw new BrokenRule('ownership', 'a record landed without the lead');
+    }
+  }
+
+  private guarded<T>(act: () => T): T {
+    try {
+      return act();
+    } catch (cause) {
+      this.broken ??= cause;
+      throw cause;
+    }
+  }
+}
+
+export { sampleJob };
