--- a/packages/cluster/leadership.ts
+++ b/packages/cluster/leadership.ts
@@ -7,8 +7,8 @@
 export type LeadershipState = 'following' | 'campaigning' | 'leading' | 'stopped';
 
 /** How long the lead outlives its holder. */
-const LIFE: Micros = 4 * SECOND;
-const RENEW: Micros = 900 * MS;
+const LIFE: Micros = 3 * SECOND;
+const RENEW: Micros = 800 * MS;
 const RETRY: Micros = 250 * MS;
 /** How long a campaign whose outcome is unknown is waited for. */
 const PATIENCE: Micros = 2 * SECOND;
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -104,6 +104,7 @@
         types: this.replica.types,
         roster: this.roster,
         lease: settings.lease,
+        cancel: settings.cancel,
         report: settings.report,
         listLag: settings.listLag,
       }),
--- a/packages/fleet/keeper.ts
+++ b/packages/fleet/keeper.ts
@@ -19,8 +19,8 @@
   ledger: Ledger;
   types: ReadonlyMap<string, MachineType>;
   roster: Roster;
-  /** Why machines must be silent for so long before they are given up. */
   lease: Micros;
+  cancel: Micros;
   report: Micros;
   listLag: Micros;
 }
@@ -48,6 +48,7 @@
   private listing = false;
   private deleting = false;
   private hires = 0;
+  private ownedSince: Micros = 0;
 
   constructor(
     private readonly cloud: CloudClient,
@@ -66,6 +67,7 @@
     this.listed = null;
     this.lastList = -Infinity;
     this.hires = 0;
+    this.ownedSince = this.clock.now();
   }
 
   /** What is to go into the next record; it stays pending until {@link landed} is told of it. */
@@ -94,7 +96,7 @@
   }
 
   state(host: HostBook): MachineState {
-    const { roster, types, report, listLag } = this.facts();
+    const { ledger, roster, types, report, listLag, lease, cancel } = this.facts();
     const session = roster.sessions.get(host.host);
     const age = this.age(host);
     const row = this.listed?.rows.get(host.host);
@@ -105,8 +107,14 @@
     const unlisted = this.listed !== null && !row && age > listLag * 2 + 8 * SECOND;
     if (unlisted) return 'dead';
     if (session) return session.state === 'expired' ? 'lost' : 'up';
+    const owned = this.clock.now() - this.ownedSince;
+    if (ledger.onHost.has(host.host)) {
+      // It was up before the last change of owner and has yet to find the new one: that takes a worker some
+      // seconds, or as long as a cut lasts. To return it now would throw away what runs on it.
+      return owned > cancel ? 'lost' : 'up';
+    }
     const boot = fromSeconds(types.get(host.build)?.BootS ?? 60);
-    return age > boot * 2.2 + 5 * SECOND ? 'late' : 'booting';
+    return age > boot * 2.2 + 5 * SECOND && owned > lease ? 'late' : 'booting';
   }
 
   /** One step: plans rentals for the given needs and returns of what idles, and talks to the cloud. */
