--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -37,6 +37,7 @@
   gpuTaskWeight: 0.5,
   guaranteeWeight: 0.5,
   mostStarts: 300,
+  choices: 6,
 };
 
 interface Trouble {
--- a/packages/pricing/round.test.ts
+++ b/packages/pricing/round.test.ts
@@ -6,7 +6,15 @@
 import type { RoomyMachine, RoundInput, RoundOptions, WaitingJob } from './types.js';
 
 const OPTIONS: RoundOptions = {
-  ...{ passes: 30, step: 0.1, gpuShapeCost: 0.5, gpuTaskWeight: 0.5, guaranteeWeight: 0.5, mostStarts: 1000 },
+  ...{
+    passes: 30,
+    step: 0.1,
+    gpuShapeCost: 0.5,
+    gpuTaskWeight: 0.5,
+    guaranteeWeight: 0.5,
+    mostStarts: 1000,
+    choices: 4,
+  },
 };
 
 function random(seed: number): () => number {
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -180,7 +180,7 @@
       const cold = roomy.filter((m) => !m.warm.has(job.bundle));
       for (const group of [warm, cold]) {
         while (left > 0 && group.length > 0 && starts.length < options.mostStarts) {
-          const at = Math.floor(random() * group.length);
+          const at = tightest(group, random, options.choices);
           const machine = group[at] as RoomyMachine;
           if (!rule.open(machine.hall) || !fits(job.need, machine.room)) {
             group[at] = group[group.length - 1] as RoomyMachine;
@@ -199,6 +199,23 @@
   return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet };
 }
 
+/**
+ * Of some random roomy machines the one with least room left: whole machines stay free for large tasks, and
+ * idle ones can be returned.
+ */
+function tightest(group: readonly RoomyMachine[], random: () => number, choices: number): number {
+  let best = Math.floor(random() * group.length);
+  for (let i = 1; i < choices; i++) {
+    const other = Math.floor(random() * group.length);
+    if (filled(group[other]) > filled(group[best])) best = other;
+  }
+  return best;
+}
+
+function filled(machine: RoomyMachine | undefined): number {
+  return machine && machine.total.cpus > 0 ? 1 - machine.room.cpus / machine.total.cpus : 0;
+}
+
 /** Which zones a job's next task may go to, given where its other tasks are at this moment. */
 class ZoneRule {
   private readonly counts: Map<string, number>;
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -60,6 +60,8 @@
   /** Raise for what lies within a team's guarantee, as a part of top priority. */
   guaranteeWeight: number;
   mostStarts: number;
+  /** Random roomy machines that are looked at for each task; the fullest of them gets it. */
+  choices: number;
 }
 
 export interface RoundInput {
