--- a/packages/cluster/keys.ts
+++ b/packages/cluster/keys.ts
@@ -10,12 +10,17 @@
 export const CHECKPOINT_HEAD = 'mw/now/checkpoint';
 export const CHUNKS = 'mw/now/chunk/';
 export const JOBS = 'mw/now/job/';
-export const LOG = 'mw/now/log/';
+export const LOGS = 'mw/now/log/';
+export const MEMBERS = 'mw/now/member/';
+export const SHARES = 'mw/now/share/';
 export const TYPES = 'mw/now/type/';
 export const OVER = 'mw/over/';
 /** Never written: reading it costs one request and tells the present epoch. */
 export const NOTHING = 'mw/nothing';
 
+/** A log has one writer: the leader's, or that of a share its owner. */
+export type LogId = 'lead' | number;
+
 export function jobKey(id: string): string {
   return JOBS + id;
 }
@@ -24,10 +29,29 @@
   return OVER + id;
 }
 
-export function logKey(seq: number): string {
-  return LOG + String(seq).padStart(12, '0');
+export function shareKey(share: number): string {
+  return SHARES + String(share);
+}
+
+export function memberKey(member: string): string {
+  return MEMBERS + member;
+}
+
+/** The key whose revision a writer of this log guards. */
+export function ownershipKey(log: LogId): string {
+  return log === 'lead' ? LEAD : shareKey(log);
+}
+
+export function logKey(log: LogId, seq: number): string {
+  return `${LOGS}${log}/${String(seq).padStart(12, '0')}`;
+}
+
+export function parseLogKey(path: string): { log: LogId; seq: number } {
+  const [log, seq] = path.slice(LOGS.length).split('/');
+  return { log: log === 'lead' ? 'lead' : Number(log), seq: Number(seq) };
 }
 
-export function chunkKey(seq: number, part: number): string {
-  return `${CHUNKS}${String(seq).padStart(12, '0')}/${String(part).padStart(4, '0')}`;
+/** Chunks are named after the sum of the log positions that the checkpoint covers, and its writer's number. */
+export function chunkKey(id: string, part: number): string {
+  return `${CHUNKS}${id}/${String(part).padStart(4, '0')}`;
 }
--- a/packages/cluster/ledger.test.ts
+++ b/packages/cluster/ledger.test.ts
@@ -3,55 +3,77 @@
 import fc from 'fast-check';
 import { jsonBytes } from '#wire';
 import { DoneSet } from './done-set.js';
-import { Ledger, type PlacementRecord } from './ledger.js';
+import type { LogId } from './keys.js';
+import { type HostRow, Ledger, type PlacementRecord } from './ledger.js';
 import { type RecordDraft, splitDraft } from './writer.js';
 
-/** A script of random steps, turned into records that a leader might write. */
-function records(steps: readonly (readonly [number, number, number])[]): PlacementRecord[] {
+type Step = [log: LogId, record: PlacementRecord];
+
+const ROW = { loaners: true, since: 0 };
+
+/** A script of random steps, turned into records that the leader and two owners might write. */
+function records(steps: readonly (readonly [number, number, number])[]): Step[] {
   const ledger = new Ledger();
-  const out: PlacementRecord[] = [];
+  const out: Step[] = [];
   for (const [kind, a, b] of steps) {
     const job = `j-${a % 3}`;
     const host = `n-${b % 4}`;
-    const record: PlacementRecord = { Seq: ledger.seq + 1, At: 1000 + out.length };
     const placed = ledger.placement(job, b);
-    if (kind === 0 && !placed && !ledger.books.get(job)?.done.has(b)) {
-      record.Starts = [{ Job: job, Crew: 'blue', Need: [1, 0, 2], On: [[b, host, 1]] }];
-      record.Prices = { small: [0.1 * a, 0, 0] };
-    } else if (kind === 1 && placed) record.Ends = [[job, b, placed.try, a % 2 === 0 ? 'done' : 'lost']];
-    else if (kind === 2) record.Gone = [host];
-    else if (kind === 3) record.Hosts = [[host, 'small', 'east', true, b]];
-    else if (kind === 4) record.Hires = [[`h-${a}`, 'small', 'east', false, 2]];
-    else record.Settled = [`h-${a}`];
-    ledger.apply(record);
-    out.push(record);
+    const draft: Partial<PlacementRecord> = {};
+    let log: LogId = a % 2;
+    if (kind === 0) {
+      draft.Starts = [{ Job: job, Crew: 'blue', Bundle: `i-${a}`, Need: [1, 0, 2], On: [[b, host, 1]] }];
+      draft.Prices = { small: [0.1 * a, 0, 0] };
+    } else if (kind === 1 && placed) {
+      draft.Ends = [[job, b, placed.try, (['done', 'lost', 'error'] as const)[a % 3] ?? 'done']];
+    } else if (kind === 2) draft.Releases = [[host, [1, b]]];
+    else if (kind === 3) draft.Takes = [host];
+    else if (kind === 4) draft.Status = [[host, 'up']];
+    else {
+      log = 'lead';
+      if (a === 0) draft.Gone = [host];
+      else if (a === 1) draft.Hires = [[`h-${b}`, 'small', 'east', false, 2, 1]];
+      else if (a === 2) draft.Settled = [`h-${b}`];
+      else if (a < 5) draft.Moves = [[host, b % 2]];
+      else draft.Hosts = [[host, 'small', 'east', ROW.loaners, ROW.since, b % 2]];
+    }
+    const record: PlacementRecord = { ...draft, Seq: ledger.seq(log) + 1, At: 1000 + out.length };
+    ledger.apply(log, record);
+    out.push([log, record]);
   }
   return out;
 }
 
-const steps = fc.array(fc.tuple(fc.nat(5), fc.nat(6), fc.nat(12)), { maxLength: 80 });
+const steps = fc.array(fc.tuple(fc.nat(6), fc.nat(6), fc.nat(12)), { maxLength: 120 });
 
 function picture(ledger: Ledger): unknown {
   const sorted = ledger.checkpoint(() => true).map((row) => JSON.stringify(row));
-  return { seq: ledger.seq, rows: sorted.sort(), usage: [...ledger.usage] };
+  return { positions: ledger.allPositions(), rows: sorted.map(blind).sort() };
+}
+
+/** A checkpoint doesn't say which image a placed task has: the machine's row tells what it needs to know. */
+function blind(row: string): string {
+  return row.replace(/"Bundle":"[^"]*"/, '"Bundle":""');
 }
 
 test('a checkpoint at any point plus the records after it gives the same state as all records', () => {
   fc.assert(
-    fc.property(steps, fc.nat(80), (script, cut) => {
+    fc.property(steps, fc.nat(120), (script, cut) => {
       const all = records(script);
       const whole = new Ledger();
-      for (const r of all) whole.apply(r);
+      for (const [log, r] of all) whole.apply(log, r);
       const first = new Ledger();
-      for (const r of all.slice(0, cut)) first.apply(r);
+      for (const [log, r] of all.slice(0, cut)) first.apply(log, r);
+      // Counts of failures in a row are left out of a checkpoint: they only shape the order of retries.
       const second = new Ledger();
       second.restore(
-        first.seq,
+        first.allPositions(),
         first.checkpoint(() => true),
       );
-      for (const r of all) second.apply(r);
-      const [a, b] = [whole, second].map((l) => picture(l) as { usage: [string, { cpus: number }][] });
-      assert.deepEqual({ ...b, usage: null }, { ...a, usage: null });
+      for (const [log, r] of all) second.apply(log, r);
+      const tidy = (l: Ledger): unknown =>
+        JSON.parse(JSON.stringify(picture(l)).replace(/\\"errors\\":\d+|\\"failedAt\\":\d+/g, ''));
+      assert.deepEqual(tidy(second), tidy(whole));
       assert.equal(second.used('blue').cpus, whole.used('blue').cpus);
     }),
     { seed: 3, numRuns: 200 },
@@ -62,8 +84,8 @@
   fc.assert(
     fc.property(steps, (script) => {
       const ledger = new Ledger();
-      for (const r of records(script)) {
-        ledger.apply(r);
+      for (const [log, r] of records(script)) {
+        ledger.apply(log, r);
         let count = 0;
         for (const book of ledger.books.values()) count += book.placed.size;
         assert.equal(ledger.used('blue').cpus, count);
@@ -77,24 +99,54 @@
   );
 });
 
-test('a record that is not the next one is refused, one already applied changes nothing', () => {
+const HOST = (host: string, share: number): HostRow => [host, 'small', 'east', false, 0, share];
+const START = { Job: 'j-1', Crew: 'blue', Bundle: 'i', Need: [1, 0, 1] as [number, number, number] };
+
+test('a record that is not the next of its log is refused, one already applied changes nothing', () => {
   const ledger = new Ledger();
-  assert.equal(ledger.apply({ Seq: 2, At: 0 }), false);
-  assert.equal(ledger.apply({ Seq: 1, At: 0, Hosts: [['n-1', 'small', 'east', false, 0]] }), true);
-  assert.equal(ledger.apply({ Seq: 1, At: 0, Gone: ['n-1'] }), true);
+  assert.equal(ledger.apply('lead', { Seq: 2, At: 0 }), false);
+  assert.equal(ledger.apply('lead', { Seq: 1, At: 0, Hosts: [HOST('n-1', 0)] }), true);
+  assert.equal(ledger.apply('lead', { Seq: 1, At: 0, Gone: ['n-1'] }), true);
   assert.equal(ledger.hosts.size, 1);
 });
 
 test('an end names its attempt: the end of an earlier one leaves the present one alone', () => {
   const ledger = new Ledger();
-  const start = { Job: 'j-1', Crew: 'blue', Need: [1, 0, 1] as [number, number, number] };
-  ledger.apply({ Seq: 1, At: 0, Starts: [{ ...start, On: [[0, 'n-1', 1]] }] });
-  ledger.apply({ Seq: 2, At: 0, Ends: [['j-1', 0, 1, 'lost']], Starts: [{ ...start, On: [[0, 'n-2', 1]] }] });
-  ledger.apply({ Seq: 3, At: 0, Ends: [['j-1', 0, 1, 'done']] });
+  ledger.apply('lead', { Seq: 1, At: 0, Hosts: [HOST('n-1', 0), HOST('n-2', 0)] });
+  ledger.apply(0, { Seq: 1, At: 0, Starts: [{ ...START, On: [[0, 'n-1', 1]] }] });
+  const first = ledger.placement('j-1', 0)?.try ?? -1;
+  ledger.apply(0, {
+    Seq: 2,
+    At: 0,
+    Ends: [['j-1', 0, first, 'lost']],
+    Starts: [{ ...START, On: [[0, 'n-2', 1]] }],
+  });
+  ledger.apply(0, { Seq: 3, At: 0, Ends: [['j-1', 0, first, 'done']] });
   assert.equal(ledger.placement('j-1', 0)?.host, 'n-2');
   assert.equal(ledger.books.get('j-1')?.done.count, 0);
 });
 
+test('a machine has one owner: only from a release to the next take may it change hands, and steps of any other share are void', () => {
+  const ledger = new Ledger();
+  ledger.apply('lead', { Seq: 1, At: 0, Hosts: [HOST('n-1', 0)] });
+  ledger.apply(1, { Seq: 1, At: 0, Takes: ['n-1'], Starts: [{ ...START, On: [[0, 'n-1', 1]] }] });
+  assert.equal(ledger.placement('j-1', 0), undefined);
+  ledger.apply(0, { Seq: 1, At: 0, Starts: [{ ...START, On: [[0, 'n-1', 1]] }], Releases: [['n-1', null]] });
+  assert.equal(ledger.hosts.get('n-1')?.share, 0, 'nobody named a move');
+  ledger.apply('lead', { Seq: 2, At: 0, Moves: [['n-1', 1]] });
+  ledger.apply(0, { Seq: 2, At: 0, Releases: [['n-1', [1, 7]]] });
+  assert.equal(ledger.hosts.get('n-1')?.share, null);
+  ledger.apply(0, { Seq: 3, At: 0, Starts: [{ ...START, On: [[1, 'n-1', 1]] }] });
+  assert.equal(ledger.placement('j-1', 1), undefined);
+  ledger.apply(1, { Seq: 2, At: 0, Takes: ['n-1'] });
+  assert.equal(ledger.hosts.get('n-1')?.share, 1);
+  const { try: attempt } = ledger.placement('j-1', 0) ?? { try: -1 };
+  ledger.apply(0, { Seq: 4, At: 0, Ends: [['j-1', 0, attempt, 'done']] });
+  assert.ok(ledger.placement('j-1', 0), 'the old owner has no more say');
+  ledger.apply(1, { Seq: 3, At: 0, Ends: [['j-1', 0, attempt, 'done']] });
+  assert.equal(ledger.placement('j-1', 0), undefined);
+});
+
 test('a set of done tasks survives being written out', () => {
   fc.assert(
     fc.property(fc.uniqueArray(fc.nat(400)), (indices) => {
@@ -118,8 +170,8 @@
       const draft: RecordDraft = {
         Ends: Array.from({ length: ends }, (_, i) => [`j-${i}`, i, 7, 'done']),
         Starts: [
-          { Job: 'j-1', Crew: 'blue', Need: [1, 0, 2], On: [] },
-          { Job: 'j-2', Crew: 'green', Need: [2.5, 0, 2], On: [] },
+          { Job: 'j-1', Crew: 'blue', Bundle: 'i', Need: [1, 0, 2], On: [] },
+          { Job: 'j-2', Crew: 'green', Bundle: 'i', Need: [2.5, 0, 2], On: [] },
         ],
       };
       for (let i = 0; i < starts; i++) draft.Starts?.[i % 2]?.On.push([i, `n-${i}`, 1]);
--- a/packages/cluster/ledger.ts
+++ b/packages/cluster/ledger.ts
@@ -1,5 +1,13 @@
 import { type Count, pieceName } from '#wire';
 import { DoneSet } from './done-set.js';
+import type { LogId } from './keys.js';
+
+/** Attempts are unique over all logs: a record's number times this, plus its share. */
+const ATTEMPT_STRIDE = 1024;
+
+const IMAGES_KEPT = 8;
+/** From so many failures without a success between them a job, and not its machines, is held at fault. */
+export const JOB_AT_FAULT = 3;
 
 /** Price of each resource on one shape. */
 export interface ShapePrice {
@@ -28,6 +36,15 @@
   at: number;
 }
 
+/**
+ * What its owner last said of a machine: not up yet, up, silent for a while, called back by the cloud, failing
+ * its tasks, or silent beyond its lease.
+ */
+export type HostStatus = 'new' | 'up' | 'silent' | 'recalled' | 'faulty' | 'lost';
+
+/** Where a machine is to go: a share, or back to the cloud. */
+export type Destination = number | 'return';
+
 export interface HostBook {
   host: string;
   build: string;
@@ -35,6 +52,20 @@
   loaners: boolean;
   /** Time of day at which it was rented (or met), in milliseconds. */
   since: number;
+  /** The share it belongs to; null while it is between two. */
+  share: number | null;
+  /** Named by the leader; the owner releases it, the new one takes it. */
+  to: Destination | null;
+  status: HostStatus;
+  /** Tells one time of belonging to a share from another. */
+  term: number;
+  /** Newest report its last owner had taken in when it let go: an older one tells a later owner nothing. */
+  mark: [shift: Count, tally: Count] | null;
+  /** Images fetched for tasks on it, the most recent last. */
+  images: string[];
+  /** Tasks that failed here since the last that did not, and the time of day of the last one. */
+  errors: number;
+  failedAt: number;
 }
 
 export interface HireBook {
@@ -43,35 +74,66 @@
   hall: string;
   loaners: boolean;
   number: number;
+  /** The share that its machines will belong to. */
+  share: number;
   at: number;
 }
 
 export type Outcome = 'done' | 'halted' | 'error' | 'refused' | 'lost' | 'undelivered';
 
-/** Starts of one job: `On` holds index, host and session for each. The attempt is the record's number. */
+/** Starts of one job: `On` holds index, host and session for each. The record's number makes the attempt. */
 export interface StartGroup {
   Job: string;
   Crew: string;
+  /** Name of its image, which the machines will have from then on. */
+  Bundle: string;
   Need: [number, number, number];
   On: [number, string, Count][];
 }
 
-/** One entry of the placement log. */
+export type HostRow = [
+  host: string,
+  build: string,
+  hall: string,
+  loaners: boolean,
+  since: number,
+  share: number,
+];
+
+export type HireRow = [
+  hire: string,
+  build: string,
+  hall: string,
+  loaners: boolean,
+  number: number,
+  share: number,
+];
+
+/** One entry of a log. The first group of fields is the leader's, the second that of a share's owner. */
 export interface PlacementRecord {
   Seq: number;
   At: number;
-  Starts?: StartGroup[];
-  Ends?: [job: string, index: number, attempt: number, outcome: Outcome][];
-  Hosts?: [host: string, build: string, hall: string, loaners: boolean, since: number][];
+
+  Hosts?: HostRow[];
   Gone?: string[];
-  Hires?: [hire: string, build: string, hall: string, loaners: boolean, number: number][];
+  Hires?: HireRow[];
   Settled?: string[];
+  Moves?: [host: string, to: Destination][];
+
+  Ends?: [job: string, index: number, attempt: number, outcome: Outcome][];
+  Status?: [host: string, status: HostStatus][];
+  Releases?: [host: string, mark: [shift: Count, tally: Count] | null][];
+  Takes?: string[];
+  Starts?: StartGroup[];
   Prices?: Record<string, [number, number, number]>;
   Unmet?: Record<string, number>;
 }
 
 export class JobBook {
   readonly done = new DoneSet();
+  /** Tasks that failed since the last that was done, and the time of day of the last one. */
+  errors = 0;
+  failedAt = 0;
   readonly placed = new Map<number, Placement>();
 }
 
@@ -79,23 +141,45 @@
 export type CheckpointRow =
   | { k: 'start'; at: number; try: number; group: StartGroup }
   | { k: 'done'; job: string; ranges: string }
-  | { k: 'host'; row: NonNullable<PlacementRecord['Hosts']>[number] }
-  | { k: 'hire'; row: NonNullable<PlacementRecord['Hires']>[number]; at: number }
-  | { k: 'price'; shape: string; row: [number, number, number] };
+  | { k: 'host'; row: HostBook }
+  | { k: 'hire'; row: HireBook }
+  | { k: 'price'; share: number; shape: string; row: [number, number, number] };
+
+const FRESH = { term: 0, mark: null, images: [], errors: 0, failedAt: 0 };
+
+/** A position in every log. */
+export type Positions = Record<string, number>;
 
 /**
- * The placement state: a pure reducer over a checkpoint and the records after it. Every node keeps one and
- * all agree, since they apply the same records in the same order; nothing else changes it.
+ * The placement state: a pure reducer over a checkpoint and the records after it, in the order of their
+ * commits. Every node keeps one and all agree; nothing else changes it. A step that its writer was not
+ * entitled to at that point of the order (a start on a machine that has left the share) has no effect.
  */
 export class Ledger {
-  /** Number of the last record applied. */
-  seq = 0;
+  /** Numbers of the last records applied. */
+  private readonly positions = new Map<LogId, number>();
   readonly books = new Map<string, JobBook>();
   readonly onHost = new Map<string, Map<string, Placement>>();
   readonly usage = new Map<string, Demand>();
   readonly hosts = new Map<string, HostBook>();
   readonly hires = new Map<string, HireBook>();
-  readonly prices = new Map<string, ShapePrice>();
+  /** By share: the prices of its owner's last round. */
+  readonly prices = new Map<number, Map<string, ShapePrice>>();
+
+  seq(log: LogId): number {
+    return this.positions.get(log) ?? 0;
+  }
+
+  /** Sum of all positions: how much has been recorded since ever. */
+  get size(): number {
+    let sum = 0;
+    for (const seq of this.positions.values()) sum += seq;
+    return sum;
+  }
+
+  allPositions(): Positions {
+    return Object.fromEntries([...this.positions].map(([log, seq]) => [String(log), seq]));
+  }
 
   book(job: string): JobBook {
     let book = this.books.get(job);
@@ -115,20 +199,14 @@
     return this.usage.get(crew) ?? { cpus: 0, gpus: 0, memGb: 0 };
   }
 
-  /** Applies the record if it is the next one; false if there is a gap before it. */
-  apply(record: PlacementRecord): boolean {
-    if (record.Seq <= this.seq) return true;
-    if (record.Seq !== this.seq + 1) return false;
-    this.seq = record.Seq;
-    for (const [job, index, attempt, outcome] of record.Ends ?? []) this.end(job, index, attempt, outcome);
-    for (const host of record.Gone ?? []) this.forget(host);
-    for (const row of record.Hosts ?? []) this.meet(row);
-    for (const hire of record.Settled ?? []) this.hires.delete(hire);
-    for (const row of record.Hires ?? []) this.hireAsked(row, record.At);
-    for (const group of record.Starts ?? []) this.start(group, record.Seq, record.At);
-    for (const [shape, [cpu, gpu, mem]] of Object.entries(record.Prices ?? {})) {
-      this.prices.set(shape, { cpu, gpu, mem });
-    }
+  /** Applies the record if it is the next of its log; false if there is a gap before it. */
+  apply(log: LogId, record: PlacementRecord): boolean {
+    const last = this.seq(log);
+    if (record.Seq <= last) return true;
+    if (record.Seq !== last + 1) return false;
+    this.positions.set(log, record.Seq);
+    if (log === 'lead') this.applyLead(record);
+    else this.applyShare(log, record);
     return true;
   }
 
@@ -140,18 +218,18 @@
 
   checkpoint(isLive: (job: string) => boolean): CheckpointRow[] {
     const rows: CheckpointRow[] = [];
-    for (const [shape, p] of this.prices) rows.push({ k: 'price', shape, row: [p.cpu, p.gpu, p.mem] });
-    for (const h of this.hosts.values()) {
-      rows.push({ k: 'host', row: [h.host, h.build, h.hall, h.loaners, h.since] });
-    }
-    for (const h of this.hires.values()) {
-      rows.push({ k: 'hire', row: [h.hire, h.build, h.hall, h.loaners, h.number], at: h.at });
+    for (const [share, shapes] of this.prices) {
+      for (const [shape, p] of shapes) rows.push({ k: 'price', share, shape, row: [p.cpu, p.gpu, p.mem] });
     }
+    for (const host of this.hosts.values())
+      rows.push({ k: 'host', row: { ...host, images: [...host.images] } });
+    for (const hire of this.hires.values()) rows.push({ k: 'hire', row: { ...hire } });
     for (const [job, book] of this.books) {
       for (const p of book.placed.values()) {
         const group: StartGroup = {
           Job: job,
           Crew: p.crew,
+          Bundle: '',
           Need: [p.cpus, p.gpus, p.memGb],
           On: [[p.index, p.host, p.shift]],
         };
@@ -166,45 +244,124 @@
     return rows;
   }
 
-  restore(seq: number, rows: CheckpointRow[]): void {
-    this.seq = seq;
+  restore(positions: Positions, rows: CheckpointRow[]): void {
+    for (const [log, seq] of Object.entries(positions)) {
+      this.positions.set(log === 'lead' ? 'lead' : Number(log), seq);
+    }
     for (const row of rows) {
-      if (row.k === 'start') this.start(row.group, row.try, row.at);
+      if (row.k === 'start') for (const on of row.group.On) this.put(row.group, on, row.try, row.at);
       else if (row.k === 'done') this.book(row.job).done.addRanges(row.ranges);
-      else if (row.k === 'host') this.meet(row.row);
-      else if (row.k === 'hire') this.hireAsked(row.row, row.at);
-      else this.prices.set(row.shape, { cpu: row.row[0], gpu: row.row[1], mem: row.row[2] });
+      else if (row.k === 'host') this.hosts.set(row.row.host, { ...row.row, images: [...row.row.images] });
+      else if (row.k === 'hire') this.hires.set(row.row.hire, { ...row.row });
+      else this.price(row.share, row.shape, row.row);
+    }
+  }
+
+  private applyLead(record: PlacementRecord): void {
+    for (const host of record.Gone ?? []) this.forget(host);
+    for (const [host, build, hall, loaners, since, share] of record.Hosts ?? []) {
+      if (this.hosts.has(host)) continue;
+      const book: HostBook = { host, build, hall, loaners, since, share, to: null, status: 'new', ...FRESH };
+      this.hosts.set(host, book);
+    }
+    for (const hire of record.Settled ?? []) this.hires.delete(hire);
+    for (const [hire, build, hall, loaners, number, share] of record.Hires ?? []) {
+      this.hires.set(hire, { hire, build, hall, loaners, number, share, at: record.At });
+    }
+    for (const [host, to] of record.Moves ?? []) {
+      const book = this.hosts.get(host);
+      if (book && book.to !== 'return') book.to = book.share === to ? null : to;
+    }
+  }
+
+  private applyShare(share: number, record: PlacementRecord): void {
+    const ours = (host: string): HostBook | null => {
+      const book = this.hosts.get(host);
+      return book?.share === share ? book : null;
+    };
+    for (const [job, index, attempt, outcome] of record.Ends ?? []) {
+      const host = this.placement(job, index)?.host;
+      const book = host === undefined ? null : ours(host);
+      if (book && this.end(job, index, attempt, outcome)) this.judge(job, book, outcome, record.At);
+    }
+    for (const [host, status] of record.Status ?? []) {
+      const book = ours(host);
+      if (book) book.status = status;
+    }
+    for (const host of record.Takes ?? []) {
+      const book = this.hosts.get(host);
+      if (!book || book.share !== null || book.to !== share) continue;
+      book.share = share;
+      book.to = null;
+      book.term++;
     }
+    for (const group of record.Starts ?? []) {
+      for (const on of group.On) {
+        const taken = this.placement(group.Job, on[0]) ?? this.books.get(group.Job)?.done.has(on[0]);
+        const book = ours(on[1]);
+        if (!book || taken) continue;
+        book.images = [...book.images.filter((i) => i !== group.Bundle), group.Bundle].slice(-IMAGES_KEPT);
+        this.put(group, on, record.Seq * ATTEMPT_STRIDE + share, record.At);
+      }
+    }
+    for (const [host, mark] of record.Releases ?? []) {
+      const book = ours(host);
+      if (!book || book.to === null) continue;
+      book.share = null;
+      book.mark = mark;
+    }
+    for (const [shape, row] of Object.entries(record.Prices ?? {})) this.price(share, shape, row);
   }
 
-  private start(group: StartGroup, attempt: number, at: number): void {
+  private price(share: number, shape: string, [cpu, gpu, mem]: [number, number, number]): void {
+    let shapes = this.prices.get(share);
+    if (!shapes) this.prices.set(share, (shapes = new Map()));
+    shapes.set(shape, { cpu, gpu, mem });
+  }
+
+  private put(group: StartGroup, on: StartGroup['On'][number], attempt: number, at: number): void {
     const [cpus, gpus, memGb] = group.Need;
-    const book = this.book(group.Job);
-    for (const [index, host, shift] of group.On) {
-      const piece = pieceName(group.Job, index);
-      const placement: Placement = {
-        ...{ job: group.Job, index, piece, crew: group.Crew, try: attempt, host, shift, at },
-        ...{ cpus, gpus, memGb },
-      };
-      book.placed.set(index, placement);
-      let there = this.onHost.get(host);
-      if (!there) this.onHost.set(host, (there = new Map()));
-      there.set(piece, placement);
-      this.charge(placement, 1);
+    const [index, host, shift] = on;
+    const piece = pieceName(group.Job, index);
+    const placement: Placement = {
+      ...{ job: group.Job, index, piece, crew: group.Crew, try: attempt, host, shift, at },
+      ...{ cpus, gpus, memGb },
+    };
+    this.book(group.Job).placed.set(index, placement);
+    let there = this.onHost.get(host);
+    if (!there) this.onHost.set(host, (there = new Map()));
+    there.set(piece, placement);
+    this.charge(placement, 1);
+  }
+
+  /** Who is to blame for a failed task: its machine, or a job that fails wherever it runs. */
+  private judge(job: string, host: HostBook, outcome: Outcome, at: number): void {
+    const book = this.books.get(job);
+    if (!book) return;
+    if (outcome === 'done') {
+      book.errors = 0;
+      host.errors = 0;
+    } else if (outcome === 'error') {
+      book.errors++;
+      book.failedAt = at;
+      if (book.errors >= JOB_AT_FAULT) return;
+      host.errors++;
+      host.failedAt = at;
     }
   }
 
-  private end(job: string, index: number, attempt: number, outcome: Outcome): void {
+  private end(job: string, index: number, attempt: number, outcome: Outcome): boolean {
     const book = this.books.get(job);
     const placement = book?.placed.get(index);
     // A record names the attempt it ends; one that is gone already is no news.
-    if (!book || placement?.try !== attempt) return;
+    if (!book || placement?.try !== attempt) return false;
     book.placed.delete(index);
     const there = this.onHost.get(placement.host);
     there?.delete(placement.piece);
     if (there?.size === 0) this.onHost.delete(placement.host);
     this.charge(placement, -1);
     if (outcome === 'done') book.done.add(index);
+    return true;
   }
 
   private forget(host: string): void {
@@ -212,15 +369,6 @@
     this.hosts.delete(host);
   }
 
-  private meet([host, build, hall, loaners, since]: NonNullable<PlacementRecord['Hosts']>[number]): void {
-    this.hosts.set(host, { host, build, hall, loaners, since });
-  }
-
-  private hireAsked(row: NonNullable<PlacementRecord['Hires']>[number], at: number): void {
-    const [hire, build, hall, loaners, number] = row;
-    this.hires.set(hire, { hire, build, hall, loaners, number, at });
-  }
-
   private charge(p: Placement, sign: 1 | -1): void {
     const now = this.used(p.crew);
     this.usage.set(p.crew, {
--- /dev/null
+++ b/packages/cluster/membership.ts
@@ -0,0 +1,174 @@
+import { LEAD, memberKey } from './keys.js';
+import type { Logger } from './logger.js';
+import type { Lead, Replica, ShareOwner } from './replica.js';
+import { type StoreClient, StoreError } from '#store';
+import { type Clock, type Count, type Micros, MS, SECOND, sleep } from '#wire';
+
+export type MembershipState = 'outside' | 'joining' | 'member' | 'stopped';
+
+/** How long a member outlives its last sign of life. */
+const LIFE: Micros = 3 * SECOND;
+const RENEW: Micros = 800 * MS;
+const RETRY: Micros = 250 * MS;
+/** How long a joining whose outcome is unknown is waited for. */
+const PATIENCE: Micros = 2 * SECOND;
+
+/**
+ * A node's standing in the cluster. All it holds (its member key, the lead, its shares) hangs on one grant,
+ * so all of it ends together when the node does.
+ */
+export class Membership {
+  state: MembershipState = 'outside';
+  private standing: { nonce: string; permit: Count; at: Micros } | null = null;
+  private count = 0;
+  private campaigning = false;
+  private deaf: string[] = [];
+  private telling = false;
+
+  constructor(
+    private readonly member: string,
+    private readonly zone: string,
+    /** Tells this start of the process from every other, so an earlier one's keys aren't taken for ours. */
+    private readonly incarnation: string,
+    private readonly store: StoreClient,
+    private readonly replica: Replica,
+    private readonly clock: Clock,
+    private readonly random: () => number,
+    private readonly log: Logger,
+  ) {
+    replica.onChange(() => {
+      this.observe();
+    });
+  }
+
+  /** The lead if this very process holds it. */
+  lead(): Lead | null {
+    const { lead } = this.replica;
+    return lead && this.isOurs(lead.nonce) ? lead : null;
+  }
+
+  /** The shares that this very process owns. */
+  shares(): Map<number, ShareOwner> {
+    return new Map([...this.replica.owners].filter(([, owner]) => this.isOurs(owner.nonce)));
+  }
+
+  /** Tells the others whom this node can't reach, if its card doesn't say so yet. */
+  async tellDeaf(deaf: string[]): Promise<void> {
+    this.deaf = deaf;
+    const card = this.replica.members.get(this.member);
+    // Compared with the card as it stands: a commit that failed is made good the next time.
+    if (this.telling || !this.standing || !card || !this.isOurs(card.nonce)) return;
+    if (card.deaf.join() === deaf.join()) return;
+    this.telling = true;
+    this.log.info({ deaf }, 'peers out of reach');
+    const { permit } = this.standing;
+    const result = await this.store.commit(
+      [{ path: memberKey(this.member), stamp: card.stamp }],
+      [{ set: memberKey(this.member), value: this.card(this.standing), permit }],
+    );
+    if (result.kind === 'applied') await this.replica.reach(result.epoch, SECOND);
+    this.telling = false;
+  }
+
+  stop(): void {
+    this.enter('stopped');
+  }
+
+  async run(): Promise<void> {
+    while (!this.isStopped()) {
+      try {
+        if (this.standing) await this.keep(this.standing);
+        else if (this.replica.state === 'following') await this.join();
+      } catch (cause) {
+        // In an outage grants don't run out; on a lone 503 a 404 later tells that ours has.
+        if (!(cause instanceof StoreError)) throw cause;
+      }
+      await sleep(this.clock, this.state === 'member' ? RENEW : RETRY);
+    }
+  }
+
+  private isStopped(): boolean {
+    return this.state === 'stopped';
+  }
+
+  private isOurs(nonce: string): boolean {
+    return this.state === 'member' && nonce === this.standing?.nonce;
+  }
+
+  private card(standing: { nonce: string; permit: Count }): Record<string, unknown> {
+    return { Nonce: standing.nonce, Zone: this.zone, Permit: standing.permit, Deaf: this.deaf };
+  }
+
+  private async join(): Promise<void> {
+    const permit = await this.store.grant(LIFE);
+    this.standing = { nonce: `${this.incarnation}.${++this.count}`, permit, at: this.clock.now() };
+    this.enter('joining');
+    // Only one process of a member runs at a time: an earlier one's card can be replaced, never disturbed.
+    const old = this.replica.members.get(this.member);
+    const result = await this.store.commit(
+      [{ path: memberKey(this.member), stamp: old?.stamp ?? 0 }],
+      [{ set: memberKey(this.member), value: this.card(this.standing), permit }],
+    );
+    if (result.kind !== 'applied' && result.kind !== 'unknown') await this.leave();
+  }
+
+  private async keep(standing: { nonce: string; permit: Count; at: Micros }): Promise<void> {
+    if (!(await this.store.renew(standing.permit))) {
+      this.standing = null;
+      this.enter('outside');
+    } else if (this.state === 'joining' && this.clock.now() > standing.at + PATIENCE) {
+      // The commit's answer was lost. Once its grant is gone it can't be applied any more.
+      await this.leave();
+    } else if (this.state === 'member') this.campaign();
+  }
+
+  private async leave(): Promise<void> {
+    const permit = this.standing?.permit;
+    this.standing = null;
+    this.enter('outside');
+    if (permit !== undefined) await this.store.revoke(permit).catch(() => undefined);
+  }
+
+  private observe(): void {
+    const card = this.replica.members.get(this.member);
+    const ours = card !== undefined && card.nonce === this.standing?.nonce;
+    if (this.state === 'joining' && ours) {
+      this.enter('member');
+    } else if (this.state === 'member' && !ours && this.replica.state === 'following') {
+      void this.leave();
+    }
+    if (this.state === 'member') this.campaign();
+  }
+
+  /** The lead is free, or held by an earlier start of this very member, which is gone for certain. */
+  private vacant(): boolean {
+    const { lead } = this.replica;
+    return !lead || (lead.member === this.member && !this.isOurs(lead.nonce));
+  }
+
+  private campaign(): void {
+    if (this.campaigning || !this.vacant()) return;
+    this.campaigning = true;
+    void this.tryLead().finally(() => {
+      this.campaigning = false;
+    });
+  }
+
+  private async tryLead(): Promise<void> {
+    await sleep(this.clock, Math.floor(this.random() * 100) * MS);
+    const { standing } = this;
+    if (!standing || this.state !== 'member' || !this.vacant()) return;
+    const result = await this.store.commit(
+      [{ path: LEAD, stamp: this.replica.lead?.stamp ?? 0 }],
+      [{ set: LEAD, value: { Member: this.member, Nonce: standing.nonce }, permit: standing.permit }],
+    );
+    if (result.kind === 'applied') this.log.info({ nonce: standing.nonce }, 'leading');
+    else await sleep(this.clock, RETRY);
+  }
+
+  private enter(state: MembershipState): void {
+    if (this.state === state || this.state === 'stopped') return;
+    this.log.info({ from: this.state, to: state }, 'membership');
+    this.state = state;
+  }
+}
--- /dev/null
+++ b/packages/cluster/peers.ts
@@ -0,0 +1,64 @@
+import type { Logger } from './logger.js';
+import { type Clock, type Micros, MS, sleep } from '#wire';
+
+/** What came of a ping: `refused` hints at a dead process, `silent` at a cut. Neither proves anything. */
+export type PingResult = 'ok' | 'refused' | 'silent';
+export type Ping = (endpoint: string, timeout: Micros) => Promise<PingResult>;
+
+const EVERY: Micros = 500 * MS;
+const TIMEOUT: Micros = 1200 * MS;
+const DEAF_SILENT: Micros = 1700 * MS;
+/** A process that died is refused too; by then its member key is gone, and it counts as dead, not cut off. */
+const DEAF_REFUSED: Micros = 4500 * MS;
+
+/**
+ * Watches which peers can be reached. Only a hint that hastens the leader's moves when zones are cut from
+ * each other: no rule depends on it.
+ */
+export class PeerWatch {
+  private readonly states: { member: string; endpoint: string; okAt: Micros; last: PingResult }[];
+  private running = true;
+
+  constructor(
+    peers: readonly { member: string; endpoint: string }[],
+    private readonly ping: Ping,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+    private readonly changed: (deaf: string[]) => void,
+  ) {
+    this.states = peers.map((p) => ({ ...p, okAt: clock.now(), last: 'ok' }));
+  }
+
+  start(): void {
+    for (const state of this.states) void this.watch(state);
+  }
+
+  stop(): void {
+    this.running = false;
+  }
+
+  /** Members out of reach for long enough to act on it. */
+  deaf(): string[] {
+    const now = this.clock.now();
+    return this.states
+      .filter((s) => now - s.okAt > (s.last === 'refused' ? DEAF_REFUSED : DEAF_SILENT))
+      .map((s) => s.member)
+      .sort();
+  }
+
+  private async watch(state: {
+    member: string;
+    endpoint: string;
+    okAt: Micros;
+    last: PingResult;
+  }): Promise<void> {
+    while (this.running) {
+      const result = await this.ping(state.endpoint, TIMEOUT);
+      if (result !== state.last) this.log.debug({ peer: state.member, result }, 'peer link');
+      state.last = result;
+      if (result === 'ok') state.okAt = this.clock.now();
+      this.changed(this.deaf());
+      await sleep(this.clock, EVERY);
+    }
+  }
+}
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -4,20 +4,24 @@
   BATON,
   CHECKPOINT_HEAD,
   CHUNKS,
+  chunkKey,
   JOBS,
   LEAD,
-  LOG,
+  LOGS,
+  MEMBERS,
   NOTHING,
   NOW,
   OVER,
-  TYPES,
-  chunkKey,
   overKey,
+  parseLogKey,
+  SHARES,
+  TYPES,
 } from './keys.js';
-import { type CheckpointRow, Ledger, type PlacementRecord } from './ledger.js';
+import { type CheckpointRow, Ledger, type PlacementRecord, type Positions } from './ledger.js';
 import { type Change, type Row, type StoreClient, StoreError } from '#store';
 import {
   type Clock,
+  type Count,
   type Fields,
   type MachineType,
   type Micros,
@@ -35,10 +39,25 @@
   stamp: number;
 }
 
+/** Who holds the lead. */
 export interface Lead {
   member: string;
   nonce: string;
+  stamp: number;
+}
+
+/** Who owns a share, and the token that was raised for it. */
+export interface ShareOwner extends Lead {
   baton: number;
+}
+
+export interface Member {
+  member: string;
+  nonce: string;
+  zone: string;
+  permit: Count;
+  /** Members that it can't reach at present, by its peer links. */
+  deaf: string[];
   stamp: number;
 }
 
@@ -60,8 +79,10 @@
   /** Machine types as last read from the cloud by a leader: known even while the cloud is down. */
   readonly types = new Map<string, MachineType>();
   lead: Lead | null = null;
+  readonly members = new Map<string, Member>();
+  readonly owners = new Map<number, ShareOwner>();
   baton = { value: 0, stamp: 0 };
-  checkpointSeq = 0;
+  private checkpoint: { id: string; positions: Positions } = { id: '', positions: {} };
   applied = 0;
   /** Steady time at which the state was known to be complete, or -Infinity. */
   freshAt = -Infinity;
@@ -103,12 +124,21 @@
 
   /** Log records and checkpoint chunks that a newer checkpoint has made superfluous. */
   litter(): string[] {
-    const logs = [...this.logRows].filter((key) => Number(key.slice(LOG.length)) <= this.checkpointSeq);
-    const keep = chunkKey(this.checkpointSeq, 0).slice(0, -4);
+    const { id, positions } = this.checkpoint;
+    const logs = [...this.logRows].filter((key) => {
+      const { log, seq } = parseLogKey(key);
+      return seq <= (positions[String(log)] ?? 0);
+    });
+    const keep = chunkKey(id, 0).slice(0, -4);
     const chunks = [...this.chunkRows].filter((key) => !key.startsWith(keep));
     return [...logs, ...chunks];
   }
 
+  /** Records that have come since the last checkpoint. */
+  get sinceCheckpoint(): number {
+    return this.ledger.size - Object.values(this.checkpoint.positions).reduce((a, b) => a + b, 0);
+  }
+
   /**
    * Resolves true once everything that the state service had committed when this was called is applied
    * here; false if that can't be had now. Callers that come close together share one read.
@@ -196,30 +226,29 @@
     this.logRows.clear();
     this.chunkRows.clear();
     this.lead = null;
+    this.members.clear();
+    this.owners.clear();
     this.baton = { value: 0, stamp: 0 };
-    this.checkpointSeq = 0;
-    for (const row of rows) {
-      const isRecord = row.path.startsWith(LOG);
-      if (!isRecord) this.take({ path: row.path, stamp: row.stamp, value: row.value });
-    }
+    this.checkpoint = { id: '', positions: {} };
+    const records = rows.filter((row) => row.path.startsWith(LOGS));
+    for (const row of rows) if (!row.path.startsWith(LOGS)) this.take(row);
     const head = rows.find((r) => r.path === CHECKPOINT_HEAD)?.value;
     if (head) {
-      const seq = Number(head['Seq']);
       const parts: CheckpointRow[] = [];
       for (let i = 0; i < Number(head['Chunks']); i++) {
-        const chunk = rows.find((r) => r.path === chunkKey(seq, i));
-        if (!chunk) throw new Error(`checkpoint ${seq} lacks part ${i}`);
+        const chunk = rows.find((r) => r.path === chunkKey(String(head['Id']), i));
+        if (!chunk) throw new Error(`checkpoint lacks part ${i}`);
         parts.push(...(chunk.value['Rows'] as CheckpointRow[]));
       }
-      this.ledger.restore(seq, parts);
-    }
-    for (const row of rows) {
-      if (row.path.startsWith(LOG)) this.take({ path: row.path, stamp: row.stamp, value: row.value });
+      this.ledger.restore(head['Positions'] as Positions, parts);
     }
+    // The order of commits is the order of their epochs, whichever logs they went to.
+    records.sort((x, y) => x.stamp - y.stamp || (x.path < y.path ? -1 : 1));
+    for (const row of records) this.take(row);
     for (const job of [...this.ledger.books.keys()]) if (!this.jobs.has(job)) this.ledger.drop(job);
     this.applied = first;
     this.enter('following');
-    this.log.info({ jobs: this.jobs.size, seq: this.ledger.seq, epoch: first }, 'state loaded');
+    this.log.info({ jobs: this.jobs.size, records: this.ledger.size, epoch: first }, 'state loaded');
     this.announce();
   }
 
@@ -244,36 +273,48 @@
   }
 
   private take(change: Change): void {
-    const { path, value } = change;
+    const { path, value, stamp } = change;
     if (path === LEAD) {
-      this.lead = value ? leadOf(value, change.stamp) : null;
+      this.lead = value ? leadOf(value, stamp) : null;
     } else if (path === BATON) {
-      this.baton = { value: Number(value?.['Baton'] ?? 0), stamp: change.stamp };
+      this.baton = { value: Number(value?.['Baton'] ?? 0), stamp };
+    } else if (path.startsWith(SHARES)) {
+      const share = Number(path.slice(SHARES.length));
+      if (value) this.owners.set(share, { ...leadOf(value, stamp), baton: Number(value['Baton']) });
+      else this.owners.delete(share);
+    } else if (path.startsWith(MEMBERS)) {
+      const member = path.slice(MEMBERS.length);
+      if (value) this.members.set(member, memberOf(member, value, stamp));
+      else this.members.delete(member);
     } else if (path.startsWith(JOBS)) {
       this.takeJob(path.slice(JOBS.length), change);
-    } else if (path.startsWith(LOG)) {
-      if (!value) this.logRows.delete(path);
-      else {
-        this.logRows.add(path);
-        // A gap can only mean that this copy missed something: start over rather than guess.
-        if (!this.ledger.apply(value as unknown as PlacementRecord)) this.enter('loading');
-        for (const [job] of (value as unknown as PlacementRecord).Ends ?? []) {
-          if (!this.jobs.has(job)) this.ledger.drop(job);
-        }
-      }
+    } else if (path.startsWith(LOGS)) {
+      this.takeRecord(path, value);
     } else if (path.startsWith(OVER)) {
       if (value) this.keepFinal(path.slice(OVER.length), value);
     } else if (path.startsWith(TYPES)) {
       if (value) this.types.set(path.slice(TYPES.length), value['Type'] as MachineType);
       else this.types.delete(path.slice(TYPES.length));
     } else if (path === CHECKPOINT_HEAD) {
-      this.checkpointSeq = Number(value?.['Seq'] ?? 0);
+      if (value) this.checkpoint = { id: String(value['Id']), positions: value['Positions'] as Positions };
     } else if (path.startsWith(CHUNKS)) {
       if (value) this.chunkRows.add(path);
       else this.chunkRows.delete(path);
     }
   }
 
+  private takeRecord(path: string, value: Fields | null): void {
+    if (!value) {
+      this.logRows.delete(path);
+      return;
+    }
+    this.logRows.add(path);
+    const record = value as unknown as PlacementRecord;
+    // A gap can only mean that this copy missed something: start over rather than guess.
+    if (!this.ledger.apply(parseLogKey(path).log, record)) this.enter('loading');
+    for (const [job] of record.Ends ?? []) if (!this.jobs.has(job)) this.ledger.drop(job);
+  }
+
   private takeJob(id: string, change: Change): void {
     if (change.value) {
       const spec = change.value['Job'] as Submission;
@@ -294,10 +335,17 @@
 }
 
 function leadOf(value: Fields, stamp: number): Lead {
+  return { member: String(value['Member']), nonce: String(value['Nonce']), stamp };
+}
+
+function memberOf(member: string, value: Fields, stamp: number): Member {
+  const deaf = value['Deaf'];
   return {
-    member: String(value['Member']),
+    member,
     nonce: String(value['Nonce']),
-    baton: Number(value['Baton']),
+    zone: String(value['Zone']),
+    permit: value['Permit'] as Count,
+    deaf: Array.isArray(deaf) ? deaf.map(String) : [],
     stamp,
   };
 }
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -1,7 +1,17 @@
-import { CHECKPOINT_HEAD, JOBS, LEAD, chunkKey, jobKey, logKey, overKey } from './keys.js';
-import type { Leadership } from './leadership.js';
+import {
+  CHECKPOINT_HEAD,
+  chunkKey,
+  JOBS,
+  jobKey,
+  LEAD,
+  type LogId,
+  logKey,
+  overKey,
+  ownershipKey,
+} from './keys.js';
 import type { CheckpointRow, PlacementRecord, StartGroup } from './ledger.js';
 import type { Logger } from './logger.js';
+import type { Membership } from './membership.js';
 import type { Final, LiveJob, Replica } from './replica.js';
 import type { Guard, StoreClient, Write } from '#store';
 import { type Fields, jsonBytes, SECOND } from '#wire';
@@ -9,44 +19,52 @@
 export type RecordDraft = Omit<PlacementRecord, 'Seq' | 'At'>;
 
 /** Records between two checkpoints. */
-const CHECKPOINT_EVERY = 60;
+const CHECKPOINT_EVERY = 90;
 const TXN_BYTES = 60 * 1024;
+/** Room left in a value for the number and time of a record, or the frame of a chunk. */
+const FRAME_BYTES = 200;
 
 /**
- * Writes the placement log for the node that leads. Every commit carries a guard on the lead, so none can
- * land under a leadership that is over, and a guard on the record's own number, so that a commit whose
- * answer was lost and the one after it can't both land.
+ * Writes to the logs for a node. Every commit carries a guard on the ownership it is made under, so none can
+ * land once that is over, and a guard on each record's own number, so that a commit whose answer was lost and
+ * the one after it can't both land.
  */
 export class LogWriter {
-  private checkpointing = false;
+  private tidying = false;
 
   constructor(
     private readonly store: StoreClient,
     private readonly replica: Replica,
-    private readonly leadership: Leadership,
+    private readonly membership: Membership,
     private readonly wall: () => number,
     private readonly limits: { valueBytes: number; txnOps: number },
     private readonly log: Logger,
   ) {}
 
-  /** True once the whole draft is committed and applied here. False: nothing may be assumed, plan anew. */
-  async append(draft: RecordDraft): Promise<boolean> {
-    const parts = splitDraft(draft, this.limits.valueBytes - 200);
-    const perTxn = Math.max(1, Math.min(this.limits.txnOps, Math.floor(TXN_BYTES / this.limits.valueBytes)));
+  /**
+   * Appends drafts to logs that this node writes. True once all are committed and applied here. False:
+   * nothing may be assumed, plan anew. `also`: ownerships on which the drafts rely besides their own logs'.
+   */
+  async append(drafts: ReadonlyMap<LogId, RecordDraft>, also: readonly LogId[] = []): Promise<boolean> {
+    const parts: { log: LogId; part: RecordDraft }[] = [];
+    for (const [log, draft] of drafts) {
+      for (const part of splitDraft(draft, this.limits.valueBytes - FRAME_BYTES)) parts.push({ log, part });
+    }
+    // Ends of every log come before starts of any: a limit may rely on them.
+    parts.sort((a, b) => Number(a.part.Starts !== undefined) - Number(b.part.Starts !== undefined));
+    const perTxn = this.valuesPerCommit();
     for (let i = 0; i < parts.length; i += perTxn) {
-      const lead = this.leadership.held();
-      if (!lead) return false;
-      const first = this.replica.ledger.seq + 1;
-      const records = parts.slice(i, i + perTxn).map((part, k) => ({
-        ...part,
-        Seq: first + k,
-        At: this.wall(),
-      }));
-      const guards: Guard[] = [{ path: LEAD, stamp: lead.stamp }];
+      const some = parts.slice(i, i + perTxn);
+      const guards = this.ownerships(new Set([...some.map((p) => p.log), ...also]));
+      if (!guards) return false;
       const writes: Write[] = [];
-      for (const record of records) {
-        guards.push({ path: logKey(record.Seq), stamp: 0 });
-        writes.push({ set: logKey(record.Seq), value: record as unknown as Fields });
+      const next = new Map<LogId, number>();
+      for (const { log, part } of some) {
+        const seq = (next.get(log) ?? this.replica.ledger.seq(log)) + 1;
+        next.set(log, seq);
+        const record: PlacementRecord = { ...part, Seq: seq, At: this.wall() };
+        guards.push({ path: logKey(log, seq), stamp: 0 });
+        writes.push({ set: logKey(log, seq), value: record as unknown as Fields });
       }
       if (!(await this.settle(guards, writes))) return false;
     }
@@ -54,17 +72,14 @@
   }
 
   /** Moves jobs whose tasks are all done from the live to the final ones. */
-  async finish(jobs: [string, LiveJob][]): Promise<void> {
+  async finish(jobs: [string, LiveJob][], shares: readonly LogId[]): Promise<void> {
     const perTxn = Math.max(1, Math.floor(this.limits.txnOps / 2));
     for (let i = 0; i < jobs.length; i += perTxn) {
-      const lead = this.leadership.held();
-      if (!lead) return;
+      const guards = this.ownerships(new Set(shares));
+      if (!guards) return;
       const some = jobs.slice(i, i + perTxn);
-      const guards = [
-        { path: LEAD, stamp: lead.stamp },
-        // A withdrawal that came first has removed the key: then the job stays withdrawn.
-        ...some.map(([id, job]) => ({ path: jobKey(id), stamp: job.stamp })),
-      ];
+      // A withdrawal that came first has removed the key: then the job stays withdrawn.
+      for (const [id, job] of some) guards.push({ path: jobKey(id), stamp: job.stamp });
       if (
         !(await this.settle(
           guards,
@@ -75,48 +90,63 @@
     }
   }
 
-  /** Writes a checkpoint when enough records have come since the last, then clears what it made superfluous. */
+  /** The leader's: writes a checkpoint when enough has come since the last, clears what that made superfluous. */
   async tidy(): Promise<void> {
-    if (this.checkpointing || !this.leadership.held()) return;
-    this.checkpointing = true;
+    if (this.tidying || !this.membership.lead()) return;
+    this.tidying = true;
     try {
-      const { ledger, checkpointSeq } = this.replica;
-      if (ledger.seq - checkpointSeq >= CHECKPOINT_EVERY) await this.checkpoint();
-      const lead = this.leadership.held();
+      if (this.replica.sinceCheckpoint >= CHECKPOINT_EVERY) await this.checkpoint();
       const litter = this.replica.litter().slice(0, this.limits.txnOps);
-      if (lead && litter.length > 0) {
+      const guards = this.ownerships(new Set<LogId>(['lead']));
+      if (guards && litter.length > 0) {
         await this.store.commit(
-          [{ path: LEAD, stamp: lead.stamp }],
+          guards,
           litter.map((remove) => ({ remove })),
         );
       }
     } finally {
-      this.checkpointing = false;
+      this.tidying = false;
     }
   }
 
   private async checkpoint(): Promise<void> {
     const { ledger, jobs } = this.replica;
-    const seq = ledger.seq;
-    const chunks = packRows(
-      ledger.checkpoint((id) => jobs.has(id)),
-      this.limits.valueBytes - 200,
-    );
-    const writes: Write[] = chunks.map((rows, i) => ({ set: chunkKey(seq, i), value: { Rows: rows } }));
-    writes.push({ set: CHECKPOINT_HEAD, value: { Seq: seq, Chunks: chunks.length } });
-    const perTxn = Math.max(1, Math.min(this.limits.txnOps, Math.floor(TXN_BYTES / this.limits.valueBytes)));
+    const positions = ledger.allPositions();
+    const lead = this.membership.lead();
+    if (!lead) return;
+    const id = `${String(ledger.size).padStart(12, '0')}-${lead.stamp}`;
+    const rows = ledger.checkpoint((job) => jobs.has(job));
+    const chunks = packRows(rows, this.limits.valueBytes - FRAME_BYTES);
+    const writes: Write[] = chunks.map((part, i) => ({ set: chunkKey(id, i), value: { Rows: part } }));
+    writes.push({ set: CHECKPOINT_HEAD, value: { Id: id, Positions: positions, Chunks: chunks.length } });
+    const perTxn = this.valuesPerCommit();
     for (let i = 0; i < writes.length; i += perTxn) {
-      const lead = this.leadership.held();
-      if (!lead) return;
-      if (!(await this.settle([{ path: LEAD, stamp: lead.stamp }], writes.slice(i, i + perTxn)))) return;
+      const guards: Guard[] = [{ path: LEAD, stamp: lead.stamp }];
+      if (!(await this.settle(guards, writes.slice(i, i + perTxn)))) return;
+    }
+    this.log.debug({ id, chunks: chunks.length }, 'checkpoint');
+  }
+
+  private valuesPerCommit(): number {
+    return Math.max(1, Math.min(this.limits.txnOps, Math.floor(TXN_BYTES / this.limits.valueBytes)));
+  }
+
+  /** Guards on the given ownerships, or null if this node no longer has one of them. */
+  private ownerships(logs: ReadonlySet<LogId>): Guard[] | null {
+    const guards: Guard[] = [];
+    const shares = this.membership.shares();
+    for (const log of logs) {
+      const held = log === 'lead' ? this.membership.lead() : shares.get(log);
+      if (!held) return null;
+      guards.push({ path: ownershipKey(log), stamp: held.stamp });
     }
-    this.log.debug({ seq, chunks: chunks.length }, 'checkpoint');
+    return guards;
   }
 
   private async settle(guards: Guard[], writes: Write[]): Promise<boolean> {
     const result = await this.store.commit(guards, writes);
     if (result.kind === 'applied') return this.replica.reach(result.epoch, SECOND);
-    this.log.debug({ result, first: guards.at(-1)?.path }, 'commit did not land');
+    this.log.debug({ result, last: guards.at(-1)?.path }, 'commit did not land');
     // What the log says now decides: a lost answer may hide a commit that was applied.
     await this.replica.barrier();
     return false;
@@ -127,6 +157,9 @@
   return [{ remove: JOBS + id }, { set: overKey(id), value: { Status: status } }];
 }
 
+/** Fields of a draft that are plain lists, in the order in which a cut draft carries them. */
+const LISTS = ['Gone', 'Hosts', 'Settled', 'Hires', 'Moves', 'Ends', 'Status', 'Takes', 'Releases'] as const;
+
 /**
  * Cuts a draft into parts that each fit into one value, ends before starts, so that no prefix of the parts
  * holds a start that relies on an end after it.
@@ -142,11 +175,12 @@
     size += bytes;
     return parts[parts.length - 1] as RecordDraft;
   };
-  for (const end of draft.Ends ?? []) (room(jsonBytes(end) + 10).Ends ??= []).push(end);
-  for (const host of draft.Gone ?? []) (room(jsonBytes(host) + 10).Gone ??= []).push(host);
-  for (const row of draft.Hosts ?? []) (room(jsonBytes(row) + 10).Hosts ??= []).push(row);
-  for (const hire of draft.Settled ?? []) (room(jsonBytes(hire) + 14).Settled ??= []).push(hire);
-  for (const row of draft.Hires ?? []) (room(jsonBytes(row) + 10).Hires ??= []).push(row);
+  for (const key of LISTS) {
+    for (const row of draft[key] ?? []) {
+      const part = room(jsonBytes(row) + key.length + 6) as Record<string, unknown[]>;
+      (part[key] ??= []).push(row);
+    }
+  }
   for (const [shape, row] of Object.entries(draft.Prices ?? {})) {
     (room(jsonBytes(row) + jsonBytes(shape) + 14).Prices ??= {})[shape] = row;
   }
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -1,32 +1,21 @@
 import type { Answer } from '#api';
 import { CloudClient } from '#cloud';
 import {
-  LEAD,
-  Leadership,
-  type LeadershipState,
-  LogWriter,
-  type LiveJob,
+  type LogId,
   type Logger,
+  LogWriter,
+  Membership,
+  PeerWatch,
+  type Ping,
   type RecordDraft,
   Replica,
-  type StartGroup,
-  TYPES,
+  type ShareOwner,
 } from '#cluster';
-import { FleetKeeper } from '#fleet';
 import type { Settings } from '#settings';
-import { StoreClient, type Write } from '#store';
-import {
-  type Caller,
-  type Clock,
-  type Fields,
-  type MachineType,
-  type Micros,
-  MS,
-  parseReport,
-  SECOND,
-  sleep,
-} from '#wire';
+import { StoreClient } from '#store';
+import { type Caller, type Clock, type Micros, MS, parseReport, type Report, SECOND, sleep } from '#wire';
 import { type Ending, renewalBound, Roster } from '#workers';
+import { Leader } from './leader.js';
 import { Scheduler } from './scheduler.js';
 import { unavailable, UserDesk } from './users.js';
 
@@ -38,10 +27,11 @@
   /** Unique for this start of the process. */
   incarnation: string;
   call: Caller;
+  ping: Ping;
   log: Logger;
 }
 
-type RoundState = 'resting' | 'planning' | 'committing' | 'finishing' | 'stopped';
+type RoundState = 'resting' | 'planning' | 'committing' | 'finishing' | 'leading' | 'stopped';
 
 /** Least time between two rounds, and the time after which one is played without any news. */
 const ROUND_GAP: Micros = 250 * MS;
@@ -50,19 +40,17 @@
 const START_FRESH: Micros = 3 * SECOND;
 /** How long the answer to a report with news waits for the round that takes it in. */
 const NEWS_WAIT: Micros = 700 * MS;
-const TYPES_EVERY: Micros = 20 * SECOND;
 
 /** One node of the service, whole but for its sockets. */
 export class Controller {
   readonly users: UserDesk;
-  private readonly store: StoreClient;
-  private readonly cloud: CloudClient;
   private readonly replica: Replica;
-  private readonly leadership: Leadership;
+  private readonly membership: Membership;
   private readonly writer: LogWriter;
   private readonly roster: Roster;
-  private readonly fleet: FleetKeeper;
   private readonly scheduler: Scheduler;
+  private readonly leader: Leader;
+  private readonly peers: PeerWatch;
   private readonly clock: Clock;
   private readonly log: Logger;
   private round: RoundState = 'resting';
@@ -70,65 +58,56 @@
   private wakeRound: (() => void) | null = null;
   private roundWaiters: (() => void)[] = [];
   private lastRound: Micros = -Infinity;
-  private lastTypes: Micros = -Infinity;
+  /**
+   * Machines whose release was sent to the log and may yet land: their workers are not answered, so that
+   * nothing this node says can come after the new owner's first word. By host: log and its position then.
+   */
+  private readonly lettingGo = new Map<string, { log: number; seq: number }>();
 
   constructor(private readonly parts: ControllerParts) {
     const { settings, clock, call, log } = parts;
     this.clock = clock;
     this.log = log;
-    this.store = new StoreClient(settings.state, call);
-    this.cloud = new CloudClient(settings.cloud, call);
-    this.replica = new Replica(this.store, clock, log);
+    const store = new StoreClient(settings.state, call);
+    const cloud = new CloudClient(settings.cloud, call);
+    const replica = new Replica(store, clock, log);
+    this.replica = replica;
     this.roster = new Roster(settings);
-    this.leadership = new Leadership(
-      settings.member,
-      parts.incarnation,
-      this.store,
-      this.replica,
-      clock,
-      parts.random,
-      log,
-      (state) => {
-        this.onLeadership(state);
-      },
-    );
+    const { member, domain } = settings;
+    const { incarnation, random } = parts;
+    this.membership = new Membership(member, domain, incarnation, store, replica, clock, random, log);
+    const { membership } = this;
     const wall = (): number => Math.floor(clock.wall() / MS);
-    this.writer = new LogWriter(this.store, this.replica, this.leadership, wall, settings, log);
-    this.users = new UserDesk(settings, this.store, this.replica, clock);
-    this.scheduler = new Scheduler(settings, clock, parts.random, this.replica, this.roster, log);
-    this.fleet = new FleetKeeper(
-      this.cloud,
-      clock,
-      () => ({
-        ledger: this.replica.ledger,
-        types: this.replica.types,
-        roster: this.roster,
-        lease: settings.lease,
-        cancel: settings.cancel,
-        report: settings.report,
-        listLag: settings.listLag,
-      }),
-      log,
-      () => {
-        this.wake();
-      },
-    );
-    this.replica.onChange(() => {
+    this.writer = new LogWriter(store, replica, membership, wall, settings, log);
+    this.users = new UserDesk(settings, store, replica, clock);
+    this.scheduler = new Scheduler(settings, clock, random, replica, this.roster, log);
+    const { writer, scheduler } = this;
+    const wake = (): void => {
       this.wake();
+    };
+    this.leader = new Leader({
+      ...{ settings, clock, store, cloud, replica, membership, writer, scheduler, log, wake },
     });
+    this.peers = new PeerWatch(settings.peers, parts.ping, clock, log, (deaf) => {
+      // A peer without a member key is dead, not out of reach.
+      void membership.tellDeaf(deaf.filter((name) => replica.members.has(name)));
+    });
+    replica.onChange(wake);
   }
 
   start(): void {
     void this.replica.run();
-    void this.leadership.run();
+    void this.membership.run();
     void this.playRounds();
     void this.keepFresh();
+    this.peers.start();
   }
 
   stop(): void {
     this.round = 'stopped';
     this.replica.stop();
-    this.leadership.stop();
+    this.membership.stop();
+    this.peers.stop();
     this.wake();
   }
 
@@ -140,54 +119,62 @@
 
   async report(body: unknown): Promise<Answer> {
     const report = parseReport(body);
-    if (!report) {
-      this.log.debug({ body }, 'not a report');
-      return { status: 400, body: { error: 'not a report' } };
-    }
-    const refusal = this.notEntitled(report.Baton);
+    if (!report) return { status: 400, body: { error: 'not a report' } };
+    const refusal = this.notEntitled(report);
     if (refusal) return refusal;
-    const lead = this.leadership.held();
-    if (!lead || !this.roster.receive(report, lead.baton, this.clock.now())) {
-      // An older report than the newest known: its worker has given this exchange up.
-      return unavailable('stale report');
-    }
-    const { Host: host, Build: build, Hall: hall, Loaners: loaners } = report;
-    this.fleet.meet({ host, build, hall, loaners, ageS: 0 });
-    if (this.scheduler.hasNews(host)) {
+    this.followOwnership();
+    // An older report than the newest known: its worker has given this exchange up.
+    if (!this.roster.receive(report, this.clock.now())) return unavailable('stale report');
+    if (this.scheduler.hasNews(report.Host)) {
       this.wake();
       await this.nextRound(NEWS_WAIT);
     }
-    const again = this.notEntitled(report.Baton);
+    const again = this.notEntitled(report);
     if (again) return again;
+    this.followOwnership();
+    // While the answer waited, the machine may have left and come back: then nothing is known of its worker.
+    if (this.roster.sessions.get(report.Host)?.report !== report) return unavailable('stale report');
     const now = this.clock.now();
     const fresh = now - this.replica.freshAt < START_FRESH;
-    const orders = this.roster.orders(host, this.replica.ledger, this.replica.jobs, fresh);
-    this.roster.answered(host, now);
-    return { status: 200, body: { Baton: lead.baton, Orders: orders } };
+    const orders = this.roster.orders(report.Host, this.replica.ledger, this.replica.jobs, fresh);
+    this.roster.answered(report.Host, now);
+    return { status: 200, body: { Baton: this.replica.baton.value, Orders: orders } };
   }
 
-  /** The answer for a worker if this node may not act for the controllers now. */
-  private notEntitled(seen: number | bigint): Answer | null {
-    const lead = this.leadership.held();
-    if (!lead) {
-      const other = this.replica.lead;
-      return other && other.member !== this.parts.settings.member && this.replica.state === 'following'
-        ? { status: 421, body: { Foreman: other.member } }
-        : unavailable('no leader known');
+  /** The answer for a worker if this node may not act for the controllers towards it now. */
+  private notEntitled(report: Report): Answer | null {
+    const { ledger, owners, baton, state } = this.replica;
+    const book = ledger.hosts.get(report.Host);
+    if (!book || state !== 'following') return unavailable('machine not known');
+    const at = book.share ?? (typeof book.to === 'number' ? book.to : null);
+    const owner = at === null ? undefined : owners.get(at);
+    if (!owner) return unavailable('no owner known');
+    if (!this.ownShares().has(at ?? -1)) {
+      return owner.member === this.parts.settings.member
+        ? unavailable('not ready yet')
+        : { status: 421, body: { Foreman: owner.member } };
     }
-    // A higher token than ours: somebody else leads by now.
-    if (seen > lead.baton) return unavailable('superseded');
+    if (book.share === null || this.isLettingGo(report.Host)) return unavailable('machine on the move');
+    // A higher token than the highest known here: somebody else may own this by now.
+    if (report.Baton > baton.value) return unavailable('superseded');
     const unknownFor = this.clock.now() - this.replica.freshAt;
     return unknownFor > renewalBound(this.parts.settings) ? unavailable('state not reachable') : null;
   }
 
-  private onLeadership(state: LeadershipState): void {
-    if (state !== 'leading') return;
-    this.roster.reset(this.clock.now());
-    this.fleet.reset();
-    this.scheduler.reset();
-    this.lastTypes = -Infinity;
-    this.wake();
+  private ownShares(): Map<number, ShareOwner> {
+    return this.membership.shares();
+  }
+
+  private followOwnership(): void {
+    this.roster.own(this.replica.ledger, this.ownShares(), this.replica.baton.value, this.clock.now());
+  }
+
+  private isLettingGo(host: string): boolean {
+    const gone = this.lettingGo.get(host);
+    if (!gone) return false;
+    // Another record took the number that the release was sent under: it can't land any more.
+    if (this.replica.ledger.seq(gone.log) > gone.seq) this.lettingGo.delete(host);
+    return this.lettingGo.has(host);
   }
 
   private wake(): void {
@@ -220,16 +207,19 @@
       if (!this.dirty) await this.rest();
       this.dirty = false;
       this.lastRound = this.clock.now();
-      if (this.leadership.held()) {
-        const waiters = this.roundWaiters;
-        this.roundWaiters = [];
-        try {
-          await this.playRound();
-        } catch (cause) {
-          this.log.error({ cause: cause instanceof Error ? cause.stack : String(cause) }, 'round failed');
-        }
+      const waiters = this.roundWaiters;
+      this.roundWaiters = [];
+      try {
+        const fresh =
+          this.clock.now() - this.replica.freshAt < START_FRESH && this.replica.state === 'following';
+        await this.playRound(fresh);
         for (const done of waiters) done();
+        this.enterRound('leading');
+        await this.leader.step(fresh);
+      } catch (cause) {
+        this.log.error({ cause: cause instanceof Error ? cause.stack : String(cause) }, 'round failed');
       }
+      for (const done of waiters) done();
       this.enterRound('resting');
     }
   }
@@ -245,90 +235,91 @@
     });
   }
 
-  private async playRound(): Promise<void> {
+  /** One round over all shares this node owns: one placement record for each share that has news. */
+  private async playRound(fresh: boolean): Promise<void> {
+    const shares = new Set(this.ownShares().keys());
+    this.followOwnership();
+    if (shares.size === 0 || !fresh) return;
     this.enterRound('planning');
     const { replica, roster } = this;
-    if (replica.types.size === 0 || this.clock.now() - this.lastTypes > TYPES_EVERY) void this.readTypes();
-    roster.advance(this.clock.now(), replica.ledger);
-    const endings = roster.endings(replica.ledger, replica.jobs, this.clock.now());
-    const fresh = this.clock.now() - replica.freshAt < START_FRESH;
-    const plan = fresh ? this.scheduler.plan(endings, this.fleet.leaving) : null;
-    const fleet = this.fleet.draft();
-    const draft: RecordDraft = {
-      ...fleet,
-      Ends: endings.map(({ placement: p, outcome }) => [p.job, p.index, p.try, outcome]),
-      Starts: plan?.starts ?? [],
-    };
-    if (plan && plan.starts.length > 0) {
-      draft.Prices = plan.prices;
-      draft.Unmet = plan.unmet;
+    const now = this.clock.now();
+    roster.advance(now, replica.ledger);
+    const endings = roster.endings(replica.ledger, replica.jobs, now);
+    const drafts = this.ownDrafts(shares, endings);
+    const plan = this.scheduler.plan(endings, shares);
+    for (const [share, starts] of plan.starts) {
+      const draft = drafts.get(share) ?? {};
+      drafts.set(share, { ...draft, Starts: starts, Prices: plan.prices, Unmet: plan.unmet });
     }
-    if (isWorthARecord(draft)) {
+    if (drafts.size > 0) {
       this.enterRound('committing');
-      if (!(await this.writer.append(draft))) return;
-      this.fleet.landed(fleet);
-      this.settle(endings, plan?.starts ?? []);
+      // A team's limit is kept by all its starts being this node's: the plan relies on every share it covers.
+      const landed = await this.writer.append(drafts, [...shares]);
+      this.settleReleases(drafts, landed);
+      if (!landed) return;
+      for (const ending of endings) this.noteEnding(ending);
     }
     this.enterRound('finishing');
     const complete = [...replica.jobs].filter(([id, job]) => {
-      return (replica.ledger.books.get(id)?.done.count ?? 0) >= job.spec.Pieces;
+      const done = replica.ledger.books.get(id)?.done.count ?? 0;
+      return done >= job.spec.Pieces && shares.has(this.scheduler.shareOf(job.spec.Crew));
     });
-    if (complete.length > 0) await this.writer.finish(complete);
-    if (this.leadership.held() && plan) this.fleet.step(plan.needs, plan.soon);
-    void this.writer.tidy();
+    if (complete.length > 0) await this.writer.finish(complete, [...shares]);
   }
 
-  /** What a record that landed means for what is only remembered here. */
-  private settle(endings: Ending[], starts: StartGroup[]): void {
-    for (const ending of endings) {
-      this.scheduler.learn(ending);
-      if (ending.outcome !== 'done') {
-        const { piece, host } = ending.placement;
-        this.log.info({ piece, host, try: ending.placement.try, outcome: ending.outcome }, 'task ended');
-      }
+  /** Ends, what is to be said of machines, and machines that come and go, by share. */
+  private ownDrafts(shares: ReadonlySet<number>, endings: readonly Ending[]): Map<LogId, RecordDraft> {
+    const { ledger } = this.replica;
+    const now = this.clock.now();
+    const drafts = new Map<LogId, RecordDraft>();
+    const draft = (share: number): RecordDraft => {
+      let found = drafts.get(share);
+      if (!found) drafts.set(share, (found = {}));
+      return found;
+    };
+    for (const { placement: p, outcome } of endings) {
+      const share = ledger.hosts.get(p.host)?.share ?? null;
+      if (share !== null) (draft(share).Ends ??= []).push([p.job, p.index, p.try, outcome]);
     }
-    for (const group of starts) {
-      const job: LiveJob | undefined = this.replica.jobs.get(group.Job);
-      if (job) for (const [, host] of group.On) this.roster.noteImage(host, job.spec.Bundle);
+    for (const book of ledger.hosts.values()) {
+      const { host, share, to } = book;
+      if (share === null) {
+        if (typeof to === 'number' && shares.has(to)) (draft(to).Takes ??= []).push(host);
+        continue;
+      }
+      if (!shares.has(share)) continue;
+      const status = this.roster.status(book, now);
+      if (status !== book.status) (draft(share).Status ??= []).push([host, status]);
+      // One that goes back to the cloud is let go only when nothing can be on it any more.
+      if (to === null || (to === 'return' && ledger.onHost.has(host))) continue;
+      const report = this.roster.sessions.get(host)?.report;
+      (draft(share).Releases ??= []).push([host, report ? [report.Shift, report.Tally] : null]);
+      this.lettingGo.set(host, { log: share, seq: Infinity });
     }
+    return drafts;
   }
 
-  private async readTypes(): Promise<void> {
-    this.lastTypes = this.clock.now();
-    const types = await this.cloud.machineTypes();
-    const lead = this.leadership.held();
-    if (!types) this.lastTypes = this.clock.now() - TYPES_EVERY + SECOND;
-    if (!types || !lead) return;
-    const changed = types.filter((t) => differs(t, this.replica.types.get(t.Sku)));
-    const { txnOps } = this.parts.settings;
-    for (let i = 0; i < changed.length; i += txnOps) {
-      const writes: Write[] = changed.slice(i, i + txnOps).map((t) => ({
-        set: TYPES + t.Sku,
-        value: { Type: t } as unknown as Fields,
-      }));
-      await this.store.commit([{ path: LEAD, stamp: lead.stamp }], writes);
+  private settleReleases(drafts: ReadonlyMap<LogId, RecordDraft>, landed: boolean): void {
+    for (const [log, draft] of drafts) {
+      for (const [host] of draft.Releases ?? []) {
+        if (landed || log === 'lead') this.lettingGo.delete(host);
+        else this.lettingGo.set(host, { log, seq: this.replica.ledger.seq(log) });
+      }
     }
   }
 
+  private noteEnding(ending: Ending): void {
+    this.scheduler.learn(ending);
+    if (ending.outcome === 'done') return;
+    const { piece, host } = ending.placement;
+    this.log.info({ piece, host, try: ending.placement.try, outcome: ending.outcome }, 'task ended');
+  }
+
   /** Keeps the age of the state known: leases may be renewed only while it is small enough. */
   private async keepFresh(): Promise<void> {
     while (!this.stopped()) {
       if (this.replica.state === 'following') await this.replica.barrier();
-      await sleep(this.clock, this.leadership.held() ? 800 * MS : 2 * SECOND);
+      await sleep(this.clock, this.ownShares().size > 0 ? 800 * MS : 2 * SECOND);
     }
   }
 }
-
-function isWorthARecord(draft: RecordDraft): boolean {
-  return [draft.Ends, draft.Starts, draft.Hosts, draft.Gone, draft.Hires, draft.Settled].some(
-    (rows) => (rows?.length ?? 0) > 0,
-  );
-}
-
-/** Spot prices move all the time: only a change worth a write counts. */
-function differs(a: MachineType, b: MachineType | undefined): boolean {
-  if (!b) return true;
-  const { LowPrice: low, ...fixed } = a;
-  const { LowPrice: oldLow, ...oldFixed } = b;
-  return Math.abs(low - oldLow) > 0.05 * oldLow || JSON.stringify(fixed) !== JSON.stringify(oldFixed);
-}
--- /dev/null
+++ b/packages/daemon/leader.ts
@@ -0,0 +1,249 @@
+import {
+  BATON,
+  cutZones,
+  LEAD,
+  type LogId,
+  type Logger,
+  type LogWriter,
+  type Membership,
+  planShares,
+  type RecordDraft,
+  type Replica,
+  shareKey,
+  TYPES,
+  zonePair,
+} from '#cluster';
+import type { CloudClient } from '#cloud';
+import { amountsOf, FleetKeeper, type MovableMachine, planMoves, type ShareNeeds } from '#fleet';
+import type { Settings } from '#settings';
+import type { StoreClient, Write } from '#store';
+import { type Clock, type Fields, type MachineType, type Micros, SECOND } from '#wire';
+import type { Outlook, Scheduler } from './scheduler.js';
+
+const TYPES_EVERY: Micros = 20 * SECOND;
+/** Least time between two changes of shares that nobody is waiting for. */
+const REBALANCE: Micros = 3 * SECOND;
+/** A moved machine stays where it is for so long. */
+const SETTLE: Micros = 6 * SECOND;
+const PRICE_GAP = 0.5;
+
+export interface LeaderParts {
+  settings: Settings;
+  clock: Clock;
+  store: StoreClient;
+  cloud: CloudClient;
+  replica: Replica;
+  membership: Membership;
+  writer: LogWriter;
+  scheduler: Scheduler;
+  log: Logger;
+  wake: () => void;
+}
+
+/** What the node that leads does besides owning shares: deals out shares, moves, rents and returns machines. */
+export class Leader {
+  private readonly fleet: FleetKeeper;
+  private stamp = 0;
+  private lastTypes: Micros = -Infinity;
+  private lastShares: Micros = -Infinity;
+  private assigning = false;
+  private readonly movedAt = new Map<string, Micros>();
+
+  constructor(private readonly parts: LeaderParts) {
+    const { cloud, clock, log, wake } = parts;
+    this.fleet = new FleetKeeper(
+      cloud,
+      clock,
+      () => ({
+        ledger: parts.replica.ledger,
+        types: parts.replica.types,
+        lease: parts.settings.lease,
+        listLag: parts.settings.listLag,
+        shareFor: (hall) => this.shareFor(hall),
+        isCut: (hall) => [...this.cuts()].some((pair) => pair.split('|').includes(hall)),
+      }),
+      log,
+      wake,
+    );
+  }
+
+  /** One step, taken after each of the node's rounds while it leads. `fresh`: the state is recent enough. */
+  async step(fresh: boolean): Promise<void> {
+    const { membership, replica, clock, scheduler, writer } = this.parts;
+    const lead = membership.lead();
+    if (!lead) return;
+    if (lead.stamp !== this.stamp) this.begin(lead.stamp);
+    if (replica.types.size === 0 || clock.now() - this.lastTypes > TYPES_EVERY) void this.readTypes();
+    void this.dealShares();
+    if (!fresh) return;
+    this.leaveCutZones();
+    const outlooks = scheduler.survey(replica.owners);
+    const needs = this.move(outlooks);
+    this.fleet.step(needs);
+    const draft = this.fleet.draft();
+    if (isWorthARecord(draft)) {
+      if (await writer.append(new Map<LogId, RecordDraft>([['lead', draft]]))) this.fleet.landed(draft);
+    }
+    void writer.tidy();
+  }
+
+  private begin(stamp: number): void {
+    this.stamp = stamp;
+    this.lastTypes = -Infinity;
+    this.lastShares = -Infinity;
+    this.movedAt.clear();
+    this.fleet.reset();
+  }
+
+  private cuts(): Set<string> {
+    return cutZones([...this.parts.replica.members.values()]);
+  }
+
+  private reaches(member: string, hall: string, cuts: ReadonlySet<string>): boolean {
+    const zone = this.parts.replica.members.get(member)?.zone;
+    return zone === undefined || zone === hall || !cuts.has(zonePair(zone, hall));
+  }
+
+  /** Gives shares without a living owner a new one, and evens out what members own. */
+  private async dealShares(): Promise<void> {
+    const { replica, membership, store, settings, log, clock } = this.parts;
+    const lead = membership.lead();
+    if (this.assigning || !lead) return;
+    const members = [...replica.members.values()];
+    const plan = planShares(settings.initialSize, replica.owners, members, this.weights());
+    const orphaned = plan.some(({ share }) => {
+      const owner = replica.owners.get(share);
+      return !owner || replica.members.get(owner.member)?.nonce !== owner.nonce;
+    });
+    if (plan.length === 0 || (!orphaned && clock.now() - this.lastShares < REBALANCE)) return;
+    this.assigning = true;
+    this.lastShares = clock.now();
+    const baton = replica.baton.value + 1;
+    const some = plan.slice(0, settings.txnOps - 1);
+    const guards = [
+      { path: LEAD, stamp: lead.stamp },
+      { path: BATON, stamp: replica.baton.stamp },
+      ...some.map(({ share }) => ({ path: shareKey(share), stamp: replica.owners.get(share)?.stamp ?? 0 })),
+    ];
+    const writes: Write[] = [{ set: BATON, value: { Baton: baton } }];
+    for (const { share, member } of some) {
+      const card = replica.members.get(member);
+      if (!card) continue;
+      const value = { Member: member, Nonce: card.nonce, Baton: baton };
+      writes.push({ set: shareKey(share), value, permit: card.permit });
+    }
+    const result = await store.commit(guards, writes);
+    if (result.kind === 'applied') {
+      await replica.reach(result.epoch, SECOND);
+      log.info({ baton, shares: Object.fromEntries(some.map((a) => [a.share, a.member])) }, 'shares dealt');
+    }
+    this.assigning = false;
+  }
+
+  /** A member counts by the CPUs that it can reach, each shared with all others that reach them. */
+  private weights(): Map<string, number> {
+    const { replica } = this.parts;
+    const cuts = this.cuts();
+    const members = [...replica.members.keys()];
+    const weights = new Map<string, number>();
+    if (cuts.size === 0) return weights;
+    for (const host of replica.ledger.hosts.values()) {
+      const cpus = replica.types.get(host.build)?.Cpus ?? 1;
+      const near = members.filter((m) => this.reaches(m, host.hall, cuts));
+      for (const m of near) weights.set(m, (weights.get(m) ?? 0) + cpus / near.length);
+    }
+    return weights;
+  }
+
+  /** Machines whose owner is cut off from their zone go to one that their workers can reach. */
+  private leaveCutZones(): void {
+    const { replica } = this.parts;
+    const cuts = this.cuts();
+    if (cuts.size === 0) return;
+    for (const host of replica.ledger.hosts.values()) {
+      const owner = replica.owners.get(typeof host.to === 'number' ? host.to : (host.share ?? -1));
+      if (!owner || host.to === 'return' || this.reaches(owner.member, host.hall, cuts)) continue;
+      const share = this.shareFor(host.hall);
+      if (share !== host.share) this.fleet.move(host.host, share, 'cut');
+    }
+  }
+
+  /** The share with the fewest machines among those whose owners reach the zone. */
+  private shareFor(hall: string): number {
+    const { replica, settings } = this.parts;
+    const cuts = this.cuts();
+    const counts = new Map<number, number>();
+    for (let share = 0; share < settings.initialSize; share++) {
+      const owner = replica.owners.get(share);
+      if (!owner || this.reaches(owner.member, hall, cuts)) counts.set(share, 0);
+    }
+    for (const { share, to } of replica.ledger.hosts.values()) {
+      const at = typeof to === 'number' ? to : share;
+      if (at !== null && counts.has(at)) counts.set(at, (counts.get(at) ?? 0) + 1);
+    }
+    return [...counts].sort((a, b) => a[1] - b[1])[0]?.[0] ?? 0;
+  }
+
+  /** Names this round's moves and returns what they leave to be rented for. */
+  private move(outlooks: readonly Outlook[]): ShareNeeds[] {
+    const { replica, clock, log } = this.parts;
+    const now = clock.now();
+    const cuts = this.cuts();
+    const machines: MovableMachine[] = [];
+    for (const { member, left } of outlooks) {
+      for (const [host, room] of left) {
+        const book = replica.ledger.hosts.get(host);
+        const type = book && replica.types.get(book.build);
+        if (!type) continue;
+        const settling = now - (this.movedAt.get(host) ?? -Infinity) < SETTLE;
+        const { build, hall, loaners } = book;
+        machines.push({ host, build, hall, loaners, owner: member, room, total: amountsOf(type), settling });
+      }
+    }
+    const owners = outlooks.map((o) => ({ owner: o.member, needs: o.needs, price: o.price }));
+    const reaches = (owner: string, hall: string): boolean => this.reaches(owner, hall, cuts);
+    const { moves, left } = planMoves({ owners, machines, reaches, priceGap: PRICE_GAP });
+    for (const { host, to } of moves) {
+      const share = outlooks.find((o) => o.member === to)?.shares[0];
+      if (share === undefined) continue;
+      this.movedAt.set(host, now);
+      this.fleet.move(host, share, 'needed');
+    }
+    if (moves.length > 0) log.debug({ moves }, 'moves');
+    return outlooks.map((o) => ({
+      share: o.shares[0] ?? 0,
+      needs: left.get(o.member) ?? [],
+      soon: o.soon,
+      reaches: (hall) => this.reaches(o.member, hall, cuts),
+    }));
+  }
+
+  private async readTypes(): Promise<void> {
+    const { cloud, clock, membership, replica, settings, store } = this.parts;
+    this.lastTypes = clock.now();
+    const types = await cloud.machineTypes();
+    const lead = membership.lead();
+    if (!types) this.lastTypes = clock.now() - TYPES_EVERY + SECOND;
+    if (!types || !lead) return;
+    const changed = types.filter((t) => differs(t, replica.types.get(t.Sku)));
+    for (let i = 0; i < changed.length; i += settings.txnOps) {
+      const writes: Write[] = changed.slice(i, i + settings.txnOps).map((t) => ({
+        set: TYPES + t.Sku,
+        value: { Type: t } as unknown as Fields,
+      }));
+      await store.commit([{ path: LEAD, stamp: lead.stamp }], writes);
+    }
+  }
+}
+
+function isWorthARecord(draft: RecordDraft): boolean {
+  return Object.values(draft).some((rows) => Array.isArray(rows) && rows.length > 0);
+}
+
+/** Spot prices move all the time: only a change worth a write counts. */
+function differs(a: MachineType, b: MachineType | undefined): boolean {
+  if (!b) return true;
+  const { LowPrice: low, ...fixed } = a;
+  const { LowPrice: oldLow, ...oldFixed } = b;
+  return Math.abs(low - oldLow) > 0.05 * oldLow || JSON.stringify(fixed) !== JSON.stringify(oldFixed);
+}
--- a/packages/daemon/main.ts
+++ b/packages/daemon/main.ts
@@ -6,6 +6,7 @@
 import { pino, destination } from 'pino';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { Controller } from './controller.js';
+import { pingOver, servePings } from './links.js';
 
 const USAGE_ERROR = 2;
 
@@ -48,6 +49,7 @@
     random: uniform(randomBytes(4).readInt32LE()),
     incarnation,
     call: httpCaller(64),
+    ping: pingOver(settings.member),
     log,
   });
   const report = (cause: unknown): void => {
@@ -56,6 +58,7 @@
   // A fault in one exchange must not end the node: everything it holds can be read again.
   process.on('uncaughtException', report);
   process.on('unhandledRejection', report);
+  await servePings(settings.clusterListen);
   controller.start();
   const app = createApp(
     {
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -1,8 +1,16 @@
-import { type LiveJob, type Logger, type Placement, type Replica, type StartGroup } from '#cluster';
+import {
+  type HostBook,
+  JOB_AT_FAULT,
+  type JobBook,
+  type Logger,
+  type Placement,
+  type Replica,
+  type ShapePrice,
+  type StartGroup,
+} from '#cluster';
 import { amountsOf, type Coming, type NeedRow } from '#fleet';
 import {
   type Amounts,
-  fits,
   playRound,
   type RoomyMachine,
   type RoundOptions,
@@ -14,13 +22,23 @@
 import { attemptKey, type Ending, type Roster, type Session } from '#workers';
 
 export interface RoundPlan {
-  starts: StartGroup[];
+  /** By share of the machine. */
+  starts: Map<number, StartGroup[]>;
   prices: Record<string, [number, number, number]>;
   unmet: Record<string, number>;
-  /** What found no room, most urgent first. */
+}
+
+/** What the leader foresees of one owner's next round. */
+export interface Outlook {
+  member: string;
+  shares: number[];
+  /** What will find no room, most urgent first. */
   needs: NeedRow[];
-  /** Room that running tasks are about to leave. */
+  /** Room that the round will leave on each of its machines. */
+  left: Map<string, Amounts>;
+  /** Room that its running tasks are about to leave. */
   soon: Coming[];
+  price: number;
 }
 
 const RANK_PRIORITY: Record<Rank, number> = { best_effort: 1, normal: 2, urgent: 4, prod: 8 };
@@ -40,15 +58,8 @@
   choices: 6,
 };
 
-interface Trouble {
-  hosts: Set<string>;
-  until: Micros;
-}
-
 /** Turns the ledger, the reports and the live jobs into a round's input, and its result into a record. */
 export class Scheduler {
-  /** Jobs whose tasks failed, on which machines, and until when they wait. */
-  private troubles = new Map<string, Trouble>();
   /** By class: how long its tasks really run against the owners' estimates. */
   private ratios = new Map<string, number>();
 
@@ -61,8 +72,9 @@
     private readonly log: Logger,
   ) {}
 
-  reset(): void {
-    this.troubles.clear();
+  /** The share that a team belongs to: teams are dealt out in the order of the settings. */
+  shareOf(crew: string): number {
+    return this.settings.teams.findIndex((t) => t.name === crew) % this.settings.initialSize;
   }
 
   /** The newest report of this worker shows the end of a task that the log doesn't know of yet. */
@@ -84,61 +96,49 @@
     const job = this.replica.jobs.get(placement.job);
     const began = session?.runningSince.get(attemptKey(placement.piece, placement.try));
     session?.runningSince.delete(attemptKey(placement.piece, placement.try));
-    if (outcome === 'done') {
-      if (session) session.errors = 0;
-      this.troubles.delete(placement.job);
-      if (!job || began === undefined || job.spec.ExpectS <= 0) return;
+    if (outcome === 'refused' && session) {
+      session.shunnedUntil = Math.max(session.shunnedUntil, now + 5 * SECOND);
+    } else if (outcome === 'done' && job && began !== undefined && job.spec.ExpectS > 0) {
       const ratio = (now - began) / fromSeconds(job.spec.ExpectS);
       const old = this.ratios.get(job.spec.Lane) ?? 1;
       this.ratios.set(job.spec.Lane, old + 0.1 * (Math.min(5, ratio) - old));
-    } else if (outcome === 'error') {
-      this.blame(placement, session, now);
-    } else if (outcome === 'refused' && session) {
-      session.shunnedUntil = Math.max(session.shunnedUntil, now + 5 * SECOND);
     }
   }
 
-  plan(endings: readonly Ending[], leaving: ReadonlySet<string>): RoundPlan {
-    const { ledger, jobs } = this.replica;
+  /** An owner's round over all its shares: its teams' tasks on its machines. */
+  plan(endings: readonly Ending[], shares: ReadonlySet<number>): RoundPlan {
+    const { ledger } = this.replica;
     const ending = new Set(endings.map((e) => e.placement));
-    const machines = this.machines(ending, leaving);
-    const waiting = this.waiting(ending);
-    const used = new Map(this.settings.teams.map((t) => [t.name, { ...ledger.used(t.name) }]));
-    for (const p of ending) {
-      const u = used.get(p.crew);
-      if (u) take(u, p, 1);
-    }
-    const result = playRound({
-      jobs: waiting,
-      machines,
-      teams: this.settings.teams.map((t) => ({
-        name: t.name,
-        used: used.get(t.name) as Amounts,
-        guaranteed: { cpus: t.cpus, gpus: t.gpus },
-        most: { cpus: t.cpusMax, gpus: t.gpusMax },
-      })),
-      prices: ledger.prices,
-      options: OPTIONS,
-      random: this.random,
-    });
-    const needs = waiting
-      .filter((j) => (result.unmet.get(j.id) ?? 0) > 0)
-      .sort((a, b) => b.priority - a.priority || a.order - b.order)
-      .map((job) => ({ job, count: result.unmet.get(job.id) ?? 0 }));
+    const machines = this.machines(ending);
+    const result = this.play(shares, machines, ending);
     const unmet: Record<string, number> = {};
-    for (const { job, count } of needs) unmet[job.crew] = (unmet[job.crew] ?? 0) + count * job.need.cpus;
+    for (const { job, count } of result.needs)
+      unmet[job.crew] = (unmet[job.crew] ?? 0) + count * job.need.cpus;
     const prices: RoundPlan['prices'] = {};
     for (const [shape, p] of result.prices) prices[shape] = [digits(p.cpu), digits(p.gpu), digits(p.mem)];
-    if (result.starts.length > 0 || needs.length > 0) {
+    if (result.starts.length > 0 || result.needs.length > 0) {
       this.log.debug({ starts: result.starts.length, unmet, prices, machines: machines.length }, 'round');
     }
-    return {
-      starts: this.group(result.starts, jobs),
-      prices,
-      unmet,
-      needs,
-      soon: this.soon(ending),
-    };
+    const starts = new Map<number, StartGroup[]>();
+    for (const share of shares) {
+      const here = result.starts.filter((s) => ledger.hosts.get(s.host)?.share === share);
+      if (here.length > 0) starts.set(share, []);
+    }
+    this.group(result.starts, starts);
+    return { starts, prices, unmet };
+  }
+
+  /** The leader's view of every owner's next round, from the log alone. */
+  survey(owners: ReadonlyMap<number, { member: string }>): Outlook[] {
+    const members = [...new Set([...owners.values()].map((o) => o.member))].sort();
+    return members.map((member) => {
+      const shares = [...owners].filter(([, o]) => o.member === member).map(([share]) => share);
+      const mine = new Set(shares);
+      const machines = this.booked(mine);
+      const { needs, left, prices } = this.play(mine, machines, new Set());
+      const price = Math.max(0, ...[...prices.values()].map((p) => p.cpu));
+      return { member, shares, needs, left, soon: this.soon(mine), price };
+    });
   }
 
   /** Expected time a running task still takes; 0 if it should be over. */
@@ -148,57 +148,107 @@
     const session = this.roster.sessions.get(placement.host);
     const began = session?.runningSince.get(attemptKey(placement.piece, placement.try));
     const whole = fromSeconds(job.spec.ExpectS) * (this.ratios.get(job.spec.Lane) ?? 1);
-    return began === undefined ? whole : Math.max(0, began + whole - this.clock.now());
+    // On another owner's machine only the time of the start is known.
+    if (began === undefined) return Math.max(0, placement.at * MS + whole - this.clock.wall());
+    return Math.max(0, began + whole - this.clock.now());
   }
 
-  private blame(placement: Placement, session: Session | undefined, now: Micros): void {
-    let trouble = this.troubles.get(placement.job);
-    if (!trouble) this.troubles.set(placement.job, (trouble = { hosts: new Set(), until: 0 }));
-    trouble.hosts.add(placement.host);
-    // Failing on machine after machine, a job is itself at fault: it tries again ever more rarely and the
-    // machines are not blamed. Failing on one, the machine is.
-    if (trouble.hosts.size >= 3) {
-      trouble.until = now + Math.min(120, 2 ** trouble.hosts.size) * SECOND;
-    } else if (session) {
-      session.errors++;
-      session.shunnedUntil = now + SHUN * 2 ** Math.min(4, session.errors - 1);
+  private play(shares: ReadonlySet<number>, machines: RoomyMachine[], ending: ReadonlySet<Placement>) {
+    const { ledger } = this.replica;
+    const teams = this.settings.teams.filter((t) => shares.has(this.shareOf(t.name)));
+    const jobs = this.waiting(new Set(teams.map((t) => t.name)), ending);
+    const used = new Map(teams.map((t) => [t.name, { ...ledger.used(t.name) }]));
+    for (const p of ending) {
+      const u = used.get(p.crew);
+      if (u) take(u, p, 1);
     }
+    const first = Math.min(...shares);
+    const result = playRound({
+      jobs,
+      machines,
+      teams: teams.map((t) => ({
+        name: t.name,
+        used: used.get(t.name) as Amounts,
+        guaranteed: { cpus: t.cpus, gpus: t.gpus },
+        most: { cpus: t.cpusMax, gpus: t.gpusMax },
+      })),
+      prices: ledger.prices.get(first) ?? new Map<string, ShapePrice>(),
+      options: OPTIONS,
+      random: this.random,
+    });
+    const needs = jobs
+      .filter((j) => (result.unmet.get(j.id) ?? 0) > 0)
+      .sort((a, b) => b.priority - a.priority || a.order - b.order)
+      .map((job) => ({ job, count: result.unmet.get(job.id) ?? 0 }));
+    return { ...result, needs };
   }
 
-  private machines(ending: ReadonlySet<Placement>, leaving: ReadonlySet<string>): RoomyMachine[] {
-    const { ledger, types } = this.replica;
+  /** The machines that this node owns and hears, with room as reported, less starts sent. */
+  private machines(ending: ReadonlySet<Placement>): RoomyMachine[] {
     const now = this.clock.now();
     const machines: RoomyMachine[] = [];
     for (const [host, session] of this.roster.sessions) {
-      const type = types.get(session.report.Build);
-      if (!type || session.state !== 'reporting' || leaving.has(host) || !ledger.hosts.has(host)) continue;
-      if (session.shunnedUntil > now) continue;
-      const room = amountsOf(type);
-      for (const p of ledger.placementsOn(host)) if (!ending.has(p)) take(room, p, 1);
+      if (session.state !== 'reporting' || session.shunnedUntil > now) continue;
+      const machine = this.roomy(host, ending);
       // Something on it that the books don't have is being stopped; until it is gone the room is unknown.
-      const strange = session.report.Pieces.some((p) => {
-        if (p.Status === 'exited') return false;
-        const at = parsePiece(p.Piece);
-        const known = at ? ledger.placement(at.job, at.index) : undefined;
-        return known?.host !== host || !sameCount(known.try, p.Try);
-      });
-      if (strange) continue;
-      const { Build: build, Hall: hall, Loaners: loaners } = session.report;
-      machines.push({ host, build, hall, loaners, total: amountsOf(type), room, warm: session.images });
+      if (machine && !this.hasStranger(host, session)) machines.push(machine);
+    }
+    return machines;
+  }
+
+  /** The machines of some shares with room as the log has it. */
+  private booked(shares: ReadonlySet<number>): RoomyMachine[] {
+    const machines: RoomyMachine[] = [];
+    for (const book of this.replica.ledger.hosts.values()) {
+      if (book.share === null || !shares.has(book.share) || book.status !== 'up') continue;
+      const machine = this.roomy(book.host, new Set());
+      if (machine) machines.push(machine);
     }
     return machines;
   }
 
-  private waiting(ending: ReadonlySet<Placement>): WaitingJob[] {
+  private roomy(host: string, ending: ReadonlySet<Placement>): RoomyMachine | null {
+    const { ledger, types } = this.replica;
+    const book = ledger.hosts.get(host);
+    const type = book && types.get(book.build);
+    if (!type || book.to !== null || this.isShunned(book)) return null;
+    const room = amountsOf(type);
+    for (const p of ledger.placementsOn(host)) if (!ending.has(p)) take(room, p, 1);
+    const { build, hall, loaners } = book;
+    return { host, build, hall, loaners, total: amountsOf(type), room, warm: new Set(book.images) };
+  }
+
+  /** It failed tasks: each failure in a row doubles the time for which it gets none. */
+  private isShunned(book: HostBook): boolean {
+    if (book.errors === 0) return false;
+    return this.clock.wall() < book.failedAt * MS + SHUN * 2 ** Math.min(4, book.errors - 1);
+  }
+
+  /** Failing on machine after machine, a job tries again ever more rarely. */
+  private isResting(book: JobBook | undefined): boolean {
+    if (!book || book.errors < JOB_AT_FAULT) return false;
+    return this.clock.wall() < book.failedAt * MS + Math.min(120, 2 ** book.errors) * SECOND;
+  }
+
+  private hasStranger(host: string, session: Session): boolean {
+    return session.report.Pieces.some((p) => {
+      if (p.Status === 'exited') return false;
+      const at = parsePiece(p.Piece);
+      const known = at ? this.replica.ledger.placement(at.job, at.index) : undefined;
+      return known?.host !== host || !sameCount(known.try, p.Try);
+    });
+  }
+
+  private waiting(crews: ReadonlySet<string>, ending: ReadonlySet<Placement>): WaitingJob[] {
     const { ledger, jobs } = this.replica;
-    const now = this.clock.now();
     const wall = this.clock.wall();
     const out: WaitingJob[] = [];
     for (const [id, job] of jobs) {
       const { spec } = job;
+      if (!crews.has(spec.Crew)) continue;
       const book = ledger.books.get(id);
       const count = spec.Pieces - (book?.done.count ?? 0) - (book?.placed.size ?? 0);
-      if (count <= 0 || (this.troubles.get(id)?.until ?? 0) > now) continue;
+      if (count <= 0 || this.isResting(book)) continue;
       const placedByHall = new Map<string, number>();
       for (const p of book?.placed.values() ?? []) {
         if (ending.has(p)) continue;
@@ -230,28 +280,25 @@
     return this.replica.ledger.hosts.get(host)?.hall ?? this.roster.sessions.get(host)?.report.Hall ?? '?';
   }
 
-  private group(
-    starts: readonly { job: string; host: string }[],
-    jobs: ReadonlyMap<string, LiveJob>,
-  ): StartGroup[] {
-    const groups = new Map<string, StartGroup>();
+  /** Gives each start its task and sorts them by the share of their machine. */
+  private group(starts: readonly { job: string; host: string }[], byShare: Map<number, StartGroup[]>): void {
     const open = new Map<string, Iterator<number>>();
     for (const { job, host } of starts) {
-      const spec = jobs.get(job)?.spec;
+      const spec = this.replica.jobs.get(job)?.spec;
       const session = this.roster.sessions.get(host);
-      if (!spec || !session) continue;
+      const groups = byShare.get(this.replica.ledger.hosts.get(host)?.share ?? -1);
+      if (!spec || !session || !groups) continue;
       let indices = open.get(job);
       if (!indices) open.set(job, (indices = this.openIndices(job, spec.Pieces)));
       const index = indices.next();
       if (index.done === true) continue;
-      let group = groups.get(job);
+      let group = groups.find((g) => g.Job === job);
       if (!group) {
-        group = { Job: job, Crew: spec.Crew, Need: [spec.Cpus, spec.Gpus, spec.MemGb], On: [] };
-        groups.set(job, group);
+        const { Crew, Bundle, Cpus, Gpus, MemGb } = spec;
+        groups.push((group = { Job: job, Crew, Bundle, Need: [Cpus, Gpus, MemGb], On: [] }));
       }
       group.On.push([index.value, host, session.report.Shift]);
     }
-    return [...groups.values()];
   }
 
   private *openIndices(job: string, pieces: number): Generator<number> {
@@ -261,17 +308,14 @@
     }
   }
 
-  private soon(ending: ReadonlySet<Placement>): Coming[] {
+  private soon(shares: ReadonlySet<number>): Coming[] {
     const { ledger } = this.replica;
     const out: Coming[] = [];
-    for (const [host, session] of this.roster.sessions) {
-      if (session.state !== 'reporting') continue;
+    for (const { host, build, hall, loaners, share, status } of ledger.hosts.values()) {
+      if (share === null || !shares.has(share) || status !== 'up') continue;
       const room: Amounts = { cpus: 0, gpus: 0, memGb: 0 };
-      for (const p of ledger.placementsOn(host)) {
-        if (!ending.has(p) && this.remaining(p) < SOON) take(room, p, -1);
-      }
-      const { Build: build, Hall: hall, Loaners: loaners } = session.report;
-      if (fits({ cpus: 0.01, gpus: 0, memGb: 0.01 }, room)) out.push({ build, hall, loaners, room });
+      for (const p of ledger.placementsOn(host)) if (this.remaining(p) < SOON) take(room, p, -1);
+      if (room.memGb > 0 || room.cpus > 0) out.push({ build, hall, loaners, room });
     }
     return out;
   }
--- a/packages/fleet/index.ts
+++ b/packages/fleet/index.ts
@@ -1,2 +1,3 @@
 export * from './planner.js';
 export * from './keeper.js';
+export * from './moves.js';
--- a/packages/fleet/keeper.ts
+++ b/packages/fleet/keeper.ts
@@ -1,6 +1,5 @@
-import type { HostBook, Ledger, Logger, RecordDraft } from '#cluster';
+import type { Destination, HostBook, Ledger, Logger, RecordDraft } from '#cluster';
 import { type CloudClient, MAX_DELETE, MAX_RENT } from '#cloud';
-import type { Roster } from '#workers';
 import { type Clock, fromSeconds, type HostRow, type MachineType, type Micros, MS, SECOND } from '#wire';
 import {
   amountsOf,
@@ -12,17 +11,24 @@
   planReturns,
 } from './planner.js';
 
-/** How a machine stands with the one who rents it. */
-export type MachineState = 'booting' | 'up' | 'late' | 'dead' | 'lost';
-
 export interface FleetFacts {
   ledger: Ledger;
   types: ReadonlyMap<string, MachineType>;
-  roster: Roster;
   lease: Micros;
-  cancel: Micros;
-  report: Micros;
   listLag: Micros;
+  /** The share that a machine found in this zone should belong to. */
+  shareFor: (hall: string) => number;
+  /** Workers in this zone may be up and unheard. */
+  isCut: (hall: string) => boolean;
+}
+
+/** What the leader knows to be wanted by the owner of a share. */
+export interface ShareNeeds {
+  share: number;
+  needs: readonly NeedRow[];
+  /** Room that its running tasks are about to leave. */
+  soon: readonly Coming[];
+  reaches: (hall: string) => boolean;
 }
 
 const LIST_EVERY: Micros = 4 * SECOND;
@@ -32,23 +38,27 @@
 const MOST_REFUSAL: Micros = 40 * SECOND;
 const GONE_KEPT: Micros = 120 * SECOND;
 
+type Pending = Required<Pick<RecordDraft, 'Hosts' | 'Gone' | 'Hires' | 'Settled' | 'Moves'>>;
+
 /**
- * Rents and returns machines for the leader. What it wants written into the log it gathers in `pending`;
- * what it asks of the cloud it takes from the ledger, so a request is always recorded before it is made.
+ * Rents and returns machines for the leader. What it wants written into the leader's log it gathers in
+ * `pending`; what it asks of the cloud it takes from the ledger, so a request is always recorded before it is
+ * made, and a machine that may be in use is only deleted once its owner has let it go.
  */
 export class FleetKeeper {
-  /** Hosts that get no new tasks since they are about to be returned. */
-  readonly leaving = new Set<string>();
-  private pending: Required<Pick<RecordDraft, 'Hosts' | 'Gone' | 'Hires' | 'Settled'>> = empty();
-  private asking = new Map<string, Micros>();
-  private refusals = new Map<string, { until: Micros; pause: Micros }>();
-  private gone = new Map<string, Micros>();
+  private pending: Pending = empty();
+  private readonly asking = new Map<string, Micros>();
+  private readonly refusals = new Map<string, { until: Micros; pause: Micros }>();
+  private readonly gone = new Map<string, Micros>();
+  private readonly idleSince = new Map<string, Micros>();
   private listed: { rows: Map<string, HostRow>; at: Micros } | null = null;
+  /** Listed machines that stopped and are in nobody's books. */
+  private readonly wrecks = new Set<string>();
   private lastList: Micros = -Infinity;
   private listing = false;
   private deleting = false;
   private hires = 0;
-  private ownedSince: Micros = 0;
+  private since: Micros = 0;
 
   constructor(
     private readonly cloud: CloudClient,
@@ -58,79 +68,66 @@
     private readonly wake: () => void,
   ) {}
 
+  /** A new leadership starts from what the log says. */
   reset(): void {
-    this.leaving.clear();
     this.pending = empty();
-    this.asking.clear();
-    this.refusals.clear();
-    this.gone.clear();
+    for (const map of [this.asking, this.refusals, this.gone, this.idleSince]) map.clear();
+    this.wrecks.clear();
     this.listed = null;
     this.lastList = -Infinity;
-    this.hires = 0;
-    this.ownedSince = this.clock.now();
+    this.since = this.clock.now();
   }
 
   /** What is to go into the next record; it stays pending until {@link landed} is told of it. */
   draft(): RecordDraft {
-    const { Hosts, Gone, Hires, Settled } = this.pending;
-    return { Hosts: [...Hosts], Gone: [...Gone], Hires: [...Hires], Settled: [...Settled] };
+    const { Hosts, Gone, Hires, Settled, Moves } = this.pending;
+    return {
+      Hosts: [...Hosts],
+      Gone: [...Gone],
+      Hires: [...Hires],
+      Settled: [...Settled],
+      Moves: [...Moves],
+    };
   }
 
   landed(draft: RecordDraft): void {
-    const { Hosts = [], Gone = [], Hires = [], Settled = [] } = draft;
-    this.pending.Hosts = this.pending.Hosts.filter((r) => !Hosts.includes(r));
-    this.pending.Gone = this.pending.Gone.filter((r) => !Gone.includes(r));
-    this.pending.Hires = this.pending.Hires.filter((r) => !Hires.includes(r));
-    this.pending.Settled = this.pending.Settled.filter((r) => !Settled.includes(r));
-    for (const host of Gone) this.leaving.delete(host);
+    const p = this.pending;
+    p.Hosts = p.Hosts.filter((r) => !draft.Hosts?.includes(r));
+    p.Gone = p.Gone.filter((r) => !draft.Gone?.includes(r));
+    p.Hires = p.Hires.filter((r) => !draft.Hires?.includes(r));
+    p.Settled = p.Settled.filter((r) => !draft.Settled?.includes(r));
+    p.Moves = p.Moves.filter((r) => !draft.Moves?.includes(r));
   }
 
-  /** A worker reports whose machine is in nobody's books: it is ours to use or to return. */
-  meet(row: { host: string; build: string; hall: string; loaners: boolean; ageS: number }): void {
-    const { ledger } = this.facts();
-    if (ledger.hosts.has(row.host) || this.gone.has(row.host)) return;
-    if (this.pending.Hosts.some(([host]) => host === row.host)) return;
-    const since = Math.floor(this.clock.wall() / MS - row.ageS * 1000);
-    this.pending.Hosts.push([row.host, row.build, row.hall, row.loaners, since]);
-    this.wake();
+  move(host: string, to: Destination, why: string): void {
+    const book = this.facts().ledger.hosts.get(host);
+    if (!book || book.to === to || book.to === 'return') return;
+    if (this.pending.Moves.some(([other]) => other === host)) return;
+    this.pending.Moves.push([host, to]);
+    this.log.debug({ host, from: book.share, to, why }, 'move');
   }
 
-  state(host: HostBook): MachineState {
-    const { ledger, roster, types, report, listLag, lease, cancel } = this.facts();
-    const session = roster.sessions.get(host.host);
-    const age = this.age(host);
-    const row = this.listed?.rows.get(host.host);
-    const silence = session ? this.clock.now() - session.heardAt : Infinity;
-    if (silence < report * 2 + 2 * SECOND) return 'up';
-    if (row?.Status === 'failed') return 'dead';
-    // The list lags by up to twice its nominal time; a machine that it should show by now is gone.
-    const unlisted = this.listed !== null && !row && age > listLag * 2 + 8 * SECOND;
-    if (unlisted) return 'dead';
-    if (session) return session.state === 'expired' ? 'lost' : 'up';
-    const owned = this.clock.now() - this.ownedSince;
-    if (ledger.onHost.has(host.host)) {
-      // It was up before the last change of owner and has yet to find the new one: that takes a worker some
-      // seconds, or as long as a cut lasts. To return it now would throw away what runs on it.
-      return owned > cancel ? 'lost' : 'up';
-    }
-    const boot = fromSeconds(types.get(host.build)?.BootS ?? 60);
-    return age > boot * 2.2 + 5 * SECOND && owned > lease ? 'late' : 'booting';
-  }
-
-  /** One step: plans rentals for the given needs and returns of what idles, and talks to the cloud. */
-  step(needs: readonly NeedRow[], soon: readonly Coming[]): void {
+  /** One step: rents for the given needs, returns what idles, and talks to the cloud. */
+  step(shares: readonly ShareNeeds[]): void {
     const { ledger } = this.facts();
-    this.rent(needs, soon);
-    for (const hire of ledger.hires.values()) void this.ask(hire.hire);
+    for (const share of shares) this.rent(share);
+    for (const hire of ledger.hires.keys()) void this.ask(hire);
     void this.list();
-    void this.giveBack(needs.length > 0);
+    this.sendBack(shares.some((s) => s.needs.length > 0));
+    void this.deleteDoomed();
+    if (isFilled(this.pending)) this.wake();
   }
 
   private age(host: HostBook): Micros {
     return Math.max(0, this.clock.wall() - host.since * MS);
   }
 
-  private rent(needs: readonly NeedRow[], soon: readonly Coming[]): void {
+  private isBooting(host: HostBook): boolean {
+    const boot = fromSeconds(this.facts().types.get(host.build)?.BootS ?? 60);
+    return host.status === 'new' && this.age(host) <= boot * 2.2 + 5 * SECOND;
+  }
+
+  private rent({ share, needs, soon, reaches }: ShareNeeds): void {
     const { ledger, types } = this.facts();
     if (needs.length === 0) return;
     const coming: Coming[] = [...soon];
@@ -138,30 +135,32 @@
     for (const host of ledger.hosts.values()) {
       perHall.set(host.hall, (perHall.get(host.hall) ?? 0) + 1);
       const type = types.get(host.build);
-      const down = !this.facts().roster.sessions.has(host.host);
-      if (type && down && this.state(host) === 'booting') coming.push({ ...host, room: amountsOf(type) });
+      if (type && host.share === share && this.isBooting(host))
+        coming.push({ ...host, room: amountsOf(type) });
+    }
+    const asked = [...ledger.hires.values()].map((h) => ({ ...h }));
+    for (const [, build, hall, loaners, number, to] of this.pending.Hires) {
+      asked.push({ hire: '', build, hall, loaners, number, share: to, at: 0 });
     }
-    const asked = [...ledger.hires.values()].map(
-      (h) => [h.hire, h.build, h.hall, h.loaners, h.number] as const,
-    );
-    for (const [, build, hall, loaners, number] of [...asked, ...this.pending.Hires]) {
+    for (const { build, hall, loaners, number, share: to } of asked) {
       const type = types.get(build);
-      for (let i = 0; type && i < number; i++) coming.push({ build, hall, loaners, room: amountsOf(type) });
+      for (let i = 0; type && to === share && i < number; i++) {
+        coming.push({ build, hall, loaners, room: amountsOf(type) });
+      }
     }
     const plans = planRentals({
       types: [...types.values()],
       needs,
       coming,
       perHall,
-      refused: (offer) => this.isRefused(offer),
+      refused: (offer) => this.isRefused(offer) || !reaches(offer.hall),
       mostPerRequest: MAX_RENT,
     });
-    for (const plan of plans) {
-      const hire = `h-${ledger.seq}-${this.clock.wall()}-${++this.hires}`;
-      this.pending.Hires.push([hire, plan.build, plan.hall, plan.loaners, plan.number]);
-      this.log.info({ hire, ...plan }, 'renting');
+    for (const { build, hall, loaners, number } of plans) {
+      const hire = `h-${this.clock.wall()}-${ledger.size}-${++this.hires}`;
+      this.pending.Hires.push([hire, build, hall, loaners, number, share]);
+      this.log.info({ hire, build, hall, loaners, number, share }, 'renting');
     }
-    if (plans.length > 0) this.wake();
   }
 
   private isRefused(offer: Offer): boolean {
@@ -176,8 +175,7 @@
   }
 
   private async ask(name: string): Promise<void> {
-    const { ledger } = this.facts();
-    const hire = ledger.hires.get(name);
+    const hire = this.facts().ledger.hires.get(name);
     const now = this.clock.now();
     if (!hire || (this.asking.get(name) ?? -Infinity) > now || this.pending.Settled.includes(name)) return;
     this.asking.set(name, now + HIRE_RETRY + 5 * SECOND);
@@ -192,7 +190,7 @@
     if (this.facts().ledger.hires.get(name) === undefined) return;
     this.asking.set(name, this.clock.now() + HIRE_RETRY);
     if (result.kind === 'rented') {
-      for (const host of result.hosts) this.meet({ host, build, hall, loaners, ageS: 0 });
+      for (const host of result.hosts) this.adopt(host, hire, hire.share, 0);
       if (result.hosts.length < number) this.refuse(hire);
       else this.refusals.delete(offerKey(hire));
     } else if (result.kind === 'no_capacity') {
@@ -207,6 +205,13 @@
     this.wake();
   }
 
+  private adopt(host: string, { build, hall, loaners }: Offer, share: number, ageS: number): void {
+    if (this.facts().ledger.hosts.has(host) || this.gone.has(host)) return;
+    if (this.pending.Hosts.some(([other]) => other === host)) return;
+    const since = Math.floor(this.clock.wall() / MS - ageS * 1000);
+    this.pending.Hosts.push([host, build, hall, loaners, since, share]);
+  }
+
   private async list(): Promise<void> {
     const now = this.clock.now();
     if (this.listing || now - this.lastList < LIST_EVERY) return;
@@ -216,61 +221,78 @@
     this.listing = false;
     if (!rows) return;
     this.listed = { rows: new Map(rows.map((r) => [r.Uid, r])), at: now };
+    const { ledger, shareFor } = this.facts();
     for (const r of rows) {
-      if (r.Status === 'failed' && !this.facts().ledger.hosts.has(r.Uid)) this.leaving.add(r.Uid);
-      else this.meet({ host: r.Uid, build: r.Build, hall: r.Hall, loaners: r.Loaners, ageS: r.AgeS });
+      const offer = { build: r.Build, hall: r.Hall, loaners: r.Loaners };
+      if (r.Status === 'failed' && !ledger.hosts.has(r.Uid)) this.wrecks.add(r.Uid);
+      else this.adopt(r.Uid, offer, shareFor(r.Hall), r.AgeS);
     }
     for (const [host, until] of this.gone) if (until < now) this.gone.delete(host);
   }
 
-  private async giveBack(short: boolean): Promise<void> {
-    if (this.deleting) return;
-    const { ledger, roster, lease } = this.facts();
+  /** Machines that idle, were called back or fail their tasks go home, each once its owner has let it go. */
+  private sendBack(short: boolean): void {
+    const { ledger } = this.facts();
     const now = this.clock.now();
     const idle = [];
-    const doomed = new Set<string>();
     for (const host of ledger.hosts.values()) {
-      if (this.pending.Gone.includes(host.host)) continue;
-      const session = roster.sessions.get(host.host);
-      const state = this.state(host);
       const empty = !ledger.onHost.has(host.host);
-      if (state === 'dead' || state === 'late') doomed.add(host.host);
-      else if (state === 'lost' && session && now - session.heardAt > lease + 15 * SECOND)
-        doomed.add(host.host);
-      else if (empty && session?.state === 'recalled') doomed.add(host.host);
-      else if (empty && session && session.errors >= 3) doomed.add(host.host);
-      else if (empty && session?.state === 'reporting' && session.idleSince !== null && !short) {
-        idle.push({
-          host: host.host,
-          idle: now - session.idleSince,
-          age: this.age(host),
-          loaners: host.loaners,
-        });
-      }
+      if (!empty || host.status !== 'up') this.idleSince.delete(host.host);
+      if (!empty) continue;
+      if (host.status === 'recalled' || host.status === 'faulty') this.move(host.host, 'return', host.status);
+      if (host.status !== 'up') continue;
+      const since = this.idleSince.get(host.host) ?? now;
+      this.idleSince.set(host.host, since);
+      if (!short)
+        idle.push({ host: host.host, idle: now - since, age: this.age(host), loaners: host.loaners });
     }
-    for (const host of planReturns(idle, { ordinary: 15 * SECOND, spot: 40 * SECOND, least: 55 * SECOND })) {
-      doomed.add(host);
+    const keep = { ordinary: 15 * SECOND, spot: 40 * SECOND, least: 55 * SECOND };
+    for (const host of planReturns(idle, keep)) this.move(host, 'return', 'idle');
+  }
+
+  /** Why the machine may be deleted now, or null. */
+  private doom(host: HostBook): string | null {
+    const { listLag, lease, isCut } = this.facts();
+    if (host.share === null && host.to === 'return') return 'returned';
+    if (host.status === 'lost') return 'lost';
+    const row = this.listed?.rows.get(host.host);
+    if (row?.Status === 'failed') return 'failed';
+    if (host.status === 'up') return null;
+    // The list lags by up to twice its nominal time; a machine that it should show by now is gone.
+    if (this.listed && !row && this.age(host) > listLag * 2 + 8 * SECOND) return 'not listed';
+    // A worker may have come up while its owner could not be reached: a new leader gives it time.
+    const patient = this.clock.now() - this.since < lease || isCut(host.hall);
+    return host.status === 'new' && !this.isBooting(host) && !patient ? 'late' : null;
+  }
+
+  private async deleteDoomed(): Promise<void> {
+    if (this.deleting) return;
+    const doomed = new Map<string, string>();
+    for (const host of this.facts().ledger.hosts.values()) {
+      const why = this.pending.Gone.includes(host.host) ? null : this.doom(host);
+      if (why !== null) doomed.set(host.host, why);
     }
-    for (const host of this.leaving) doomed.add(host);
-    const hosts = [...doomed].slice(0, MAX_DELETE);
+    for (const host of this.wrecks) doomed.set(host, 'failed');
+    const hosts = [...doomed.keys()].slice(0, MAX_DELETE);
     if (hosts.length === 0) return;
     this.deleting = true;
-    // From here on no start may be decided for them: what is deleted takes its tasks with it.
-    for (const host of hosts) this.leaving.add(host);
     const ok = await this.cloud.delete(hosts);
     this.deleting = false;
     if (!ok) return;
-    this.log.info({ hosts }, 'machines returned');
+    this.log.info({ hosts: Object.fromEntries(doomed) }, 'machines returned');
     for (const host of hosts) {
       this.gone.set(host, this.clock.now() + GONE_KEPT);
-      roster.forget(host);
+      this.wrecks.delete(host);
       if (this.facts().ledger.hosts.has(host)) this.pending.Gone.push(host);
-      else this.leaving.delete(host);
     }
     this.wake();
   }
 }
 
-function empty(): Required<Pick<RecordDraft, 'Hosts' | 'Gone' | 'Hires' | 'Settled'>> {
-  return { Hosts: [], Gone: [], Hires: [], Settled: [] };
+function empty(): Pending {
+  return { Hosts: [], Gone: [], Hires: [], Settled: [], Moves: [] };
+}
+
+function isFilled(pending: Pending): boolean {
+  return Object.values(pending).some((rows) => rows.length > 0);
 }
--- /dev/null
+++ b/packages/fleet/moves.ts
@@ -0,0 +1,104 @@
+import { type Amounts, fits, slots, take } from '#pricing';
+import { type NeedRow, type Offer, suits } from './planner.js';
+
+/** A machine as the leader sees it: whose it is and what room its owner's next round will leave on it. */
+export interface MovableMachine extends Offer {
+  host: string;
+  owner: string;
+  room: Amounts;
+  total: Amounts;
+  /** It was moved a moment ago: moving it on at once would only keep it from working. */
+  settling: boolean;
+}
+
+export interface OwnerNeeds {
+  owner: string;
+  needs: readonly NeedRow[];
+  /** Price of CPU in its last round. */
+  price: number;
+}
+
+export interface MoveInput {
+  owners: readonly OwnerNeeds[];
+  machines: readonly MovableMachine[];
+  /** The owner's node can reach workers in this zone. */
+  reaches: (owner: string, hall: string) => boolean;
+  /** How much dearer the needy must be than the owner that gives a machine without unused room. */
+  priceGap: number;
+}
+
+export interface Move {
+  host: string;
+  to: string;
+}
+
+export interface MoveResult {
+  moves: Move[];
+  /** What no move serves, by owner. */
+  left: Map<string, NeedRow[]>;
+}
+
+/**
+ * The leader's moves: machines with enough unused room to owners whose tasks found none, then, where there is
+ * no unused room, one machine from the lowest-priced owner to the highest.
+ */
+export function planMoves(input: MoveInput): MoveResult {
+  const moves: Move[] = [];
+  const left = new Map<string, NeedRow[]>();
+  const rooms = new Map(input.machines.map((m) => [m.host, { ...m.room }]));
+  const moved = new Set<string>();
+  const open = (m: MovableMachine, owner: string): boolean =>
+    m.owner !== owner && !m.settling && !moved.has(m.host) && input.reaches(owner, m.hall);
+  for (const { owner, needs } of input.owners) {
+    const rest: NeedRow[] = [];
+    // Room on a machine that comes for one need serves the next ones, too.
+    const coming: MovableMachine[] = [];
+    for (const { job, count } of needs) {
+      let wanted = count;
+      const serve = (m: MovableMachine): void => {
+        const room = rooms.get(m.host);
+        if (!room || wanted === 0 || !suits(job, m)) return;
+        const n = Math.min(wanted, slots(job.need, room));
+        take(room, job.need, n);
+        wanted -= n;
+      };
+      for (const m of coming) serve(m);
+      const candidates = input.machines
+        .filter((m) => open(m, owner) && suits(job, m) && fits(job.need, rooms.get(m.host) ?? m.room))
+        .sort((a, b) => unused(b, rooms) - unused(a, rooms));
+      for (const m of candidates) {
+        if (wanted === 0) break;
+        moved.add(m.host);
+        moves.push({ host: m.host, to: owner });
+        coming.push(m);
+        serve(m);
+      }
+      if (wanted > 0) rest.push({ job, count: wanted });
+    }
+    left.set(owner, rest);
+  }
+  const dearest = [...input.owners].sort((a, b) => b.price - a.price);
+  for (const rich of dearest) {
+    const need = left.get(rich.owner)?.[0];
+    const giver = [...dearest].reverse().find((o) => o.owner !== rich.owner);
+    if (!need || !giver || rich.price - giver.price < input.priceGap) continue;
+    const machine = input.machines
+      .filter(
+        (m) =>
+          m.owner === giver.owner &&
+          open(m, rich.owner) &&
+          suits(need.job, m) &&
+          fits(need.job.need, m.total),
+      )
+      .sort((a, b) => unused(b, rooms) - unused(a, rooms))[0];
+    if (!machine) continue;
+    moved.add(machine.host);
+    moves.push({ host: machine.host, to: rich.owner });
+  }
+  return { moves, left };
+}
+
+/** The part of a machine that is unused. */
+function unused(m: MovableMachine, rooms: ReadonlyMap<string, Amounts>): number {
+  return (rooms.get(m.host)?.cpus ?? 0) / Math.max(m.total.cpus, 1e-6);
+}
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -196,7 +196,8 @@
     }
     if (left > 0) unmet.set(job.id, (unmet.get(job.id) ?? 0) + left);
   }
-  return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet };
+  const left = new Map(pools.flatMap((p) => p.machines.map((m) => [m.host, m.room])));
+  return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet, left };
 }
 
 /**
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -79,4 +79,6 @@
   prices: Map<string, Price>;
   /** Tasks within their team's limit that found no roomy machine. */
   unmet: Map<string, number>;
+  /** Room left on each machine. */
+  left: Map<string, Amounts>;
 }
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -1,5 +1,5 @@
 import { Controller } from '#daemon';
-import { LEAD, LOG, type Logger } from '#cluster';
+import { LOGS, type Logger, ownershipKey, parseLogKey, type Ping } from '#cluster';
 import type { Settings } from '#settings';
 import {
   type Fields,
@@ -158,10 +158,12 @@
       random: this.random,
       incarnation: `i${++this.starts}`,
       call: this.net.caller(settings.member, settings.domain, isAlive),
+      ping: this.pingFrom(settings.member, settings.domain, isAlive),
       log: this.options.log ?? SILENT,
     });
     node.controller = controller;
     controller.start();
+    this.net.serve(settings.clusterListen, settings.domain, () => ({ status: 200, body: {} }));
     this.net.serve(settings.bind, settings.domain, async (_from, method, path, body) => {
       const answer =
         path === '/v1/report'
@@ -180,7 +182,9 @@
     if (!node.alive.on) return;
     node.alive.on = false;
     node.controller = null;
-    this.net.unplug(sampleSettings(index, this.nodes.length).bind);
+    const settings = sampleSettings(index, this.nodes.length);
+    this.net.unplug(settings.bind);
+    this.net.unplug(settings.clusterListen);
   }
 
   /** Submits a job as a user does: again and again until it is taken, then polls until it is over. */
@@ -250,12 +254,25 @@
     this.workers.set(host.host, worker);
   }
 
-  /** No record of the log lands without a guard on a lead that stands. */
+  private pingFrom(member: string, zone: string, alive: () => boolean): Ping {
+    const call = this.net.caller(member, zone, alive);
+    return (endpoint, timeout) =>
+      call(endpoint, 'GET', '/', undefined, timeout).then(
+        () => 'ok',
+        (cause: unknown) => (String(cause).includes('refused') ? 'refused' : 'silent'),
+      );
+  }
+
+  /** No record lands in a log without a guard on the ownership of it that stands at that moment. */
   private checkOwnership(guards: Fields[], writes: Fields[]): void {
-    if (!writes.some((w) => String(w['Set'] ?? '').startsWith(LOG))) return;
-    const lead = this.store.rows.get(LEAD);
-    if (!lead || !guards.some((g) => g['Path'] === LEAD && Number(g['Stamp']) === lead.stamp)) {
-      throw new BrokenRule('ownership', 'a record landed without the lead');
+    for (const w of writes) {
+      const path = String(w['Set'] ?? '');
+      if (!path.startsWith(LOGS)) continue;
+      const key = ownershipKey(parseLogKey(path).log);
+      const owner = this.store.rows.get(key);
+      if (!owner || !guards.some((g) => g['Path'] === key && Number(g['Stamp']) === owner.stamp)) {
+        throw new BrokenRule('ownership', `${path} landed without ${key}`);
+      }
     }
   }
 
--- a/packages/workers/roster.test.ts
+++ b/packages/workers/roster.test.ts
@@ -7,6 +7,9 @@
 
 const LIMITS = { report: 2 * SECOND, lease: 10 * SECOND, cancel: 30 * SECOND };
 const NOW = 100 * SECOND;
+const OWNERS = new Map([[0, { member: 'a', nonce: 'x', stamp: 9, baton: 5 }]]);
+/** The attempt that the first record of share 0 makes. */
+const TRY = 1024;
 
 function report(change: Partial<Report> = {}): Report {
   return {
@@ -19,26 +22,27 @@
 /** One task, j-1/0 attempt 1, recorded for session 1 of n-1. */
 function scene(): { roster: Roster; ledger: Ledger; jobs: Map<string, LiveJob> } {
   const ledger = new Ledger();
-  ledger.apply({
+  ledger.apply('lead', { Seq: 1, At: 0, Hosts: [['n-1', 'small', 'east', false, 0, 0]] });
+  ledger.apply(0, {
     Seq: 1,
     At: 0,
-    Starts: [{ Job: 'j-1', Crew: 'blue', Need: [2, 0, 4], On: [[0, 'n-1', 1]] }],
+    Starts: [{ Job: 'j-1', Crew: 'blue', Bundle: 'i', Need: [2, 0, 4], On: [[0, 'n-1', 1]] }],
   });
   const roster = new Roster(LIMITS);
-  roster.reset(NOW);
+  roster.own(ledger, OWNERS, 5, NOW);
   return { roster, ledger, jobs: new Map([['j-1', { spec: sampleJob('j-1'), at: 0, stamp: 1 }]]) };
 }
 
-const running = (Try = 1): Report['Pieces'] => [{ Piece: 'j-1/0', Try, Status: 'running' }];
+const running = (Try = TRY): Report['Pieces'] => [{ Piece: 'j-1/0', Try, Status: 'running' }];
 
 test('a start whose answer may be on its way is not held undelivered when its job is cancelled', () => {
   const { roster, ledger, jobs } = scene();
-  roster.receive(report(), 5, NOW);
+  roster.receive(report(), NOW);
   assert.equal(roster.orders('n-1', ledger, jobs, true)[0]?.Verb, 'launch');
   jobs.clear();
   assert.deepEqual(roster.endings(ledger, jobs, NOW + 1), []);
   // The next report shows that the answer never took effect, and from now on it can't.
-  roster.receive(report({ Tally: 2 }), 5, NOW + 2);
+  roster.receive(report({ Tally: 2 }), NOW + 2);
   assert.equal(roster.endings(ledger, jobs, NOW + 3)[0]?.outcome, 'undelivered');
   assert.deepEqual(roster.orders('n-1', ledger, jobs, true), []);
 });
@@ -46,34 +50,34 @@
 test('absence proves nothing while the worker may still obey an earlier owner', () => {
   const { roster, ledger, jobs } = scene();
   jobs.clear();
-  roster.receive(report({ Baton: 4 }), 5, NOW);
+  roster.receive(report({ Baton: 4 }), NOW);
   assert.deepEqual(roster.endings(ledger, jobs, NOW), []);
 });
 
 test('a newer session ends what was started for an older one, an older report changes nothing', () => {
   const { roster, ledger, jobs } = scene();
-  assert.ok(roster.receive(report({ Shift: 2 }), 5, NOW));
+  assert.ok(roster.receive(report({ Shift: 2 }), NOW));
   assert.equal(roster.endings(ledger, jobs, NOW)[0]?.outcome, 'lost');
   assert.deepEqual(roster.orders('n-1', ledger, jobs, true), []);
-  assert.ok(!roster.receive(report({ Shift: 1, Tally: 99, Pieces: running() }), 5, NOW + 1));
+  assert.ok(!roster.receive(report({ Shift: 1, Tally: 99, Pieces: running() }), NOW + 1));
 });
 
 test('reap only after the end is in the log, halt what the log does not know', () => {
   const { roster, ledger, jobs } = scene();
-  const exited: Report['Pieces'] = [{ Piece: 'j-1/0', Try: 1, Status: 'exited', Cause: 'done' }];
-  roster.receive(report({ Pieces: exited }), 5, NOW);
+  const exited: Report['Pieces'] = [{ Piece: 'j-1/0', Try: TRY, Status: 'exited', Cause: 'done' }];
+  roster.receive(report({ Pieces: exited }), NOW);
   assert.deepEqual(roster.orders('n-1', ledger, jobs, true), []);
   const ending = roster.endings(ledger, jobs, NOW)[0];
   assert.equal(ending?.outcome, 'done');
-  ledger.apply({ Seq: 2, At: 0, Ends: [['j-1', 0, 1, 'done']] });
-  assert.deepEqual(roster.orders('n-1', ledger, jobs, true), [{ Verb: 'reap', Piece: 'j-1/0', Try: 1 }]);
-  roster.receive(report({ Tally: 2, Pieces: running(7) }), 5, NOW);
+  ledger.apply(0, { Seq: 2, At: 0, Ends: [['j-1', 0, TRY, 'done']] });
+  assert.deepEqual(roster.orders('n-1', ledger, jobs, true), [{ Verb: 'reap', Piece: 'j-1/0', Try: TRY }]);
+  roster.receive(report({ Tally: 2, Pieces: running(7) }), NOW);
   assert.equal(roster.orders('n-1', ledger, jobs, true)[0]?.Verb, 'halt');
 });
 
 test('a lease counts as over only when no one entitled can have renewed it', () => {
   const { roster, ledger, jobs } = scene();
-  roster.receive(report({ Baton: 4, Pieces: running() }), 5, NOW);
+  roster.receive(report({ Baton: 4, Pieces: running() }), NOW);
   roster.answered('n-1', NOW);
   // This worker may not have seen our answer and may follow an earlier owner until that one's bound.
   const byOthers = NOW + withDrift(LIMITS.cancel);
@@ -92,3 +96,18 @@
   assert.ok(bound > 0);
   assert.ok(bound * 1.001 + LIMITS.lease * 1.001 < LIMITS.cancel);
 });
+
+test('after a move, reports that the last owner had are no news, however late they come', () => {
+  const { ledger, jobs } = scene();
+  ledger.apply('lead', { Seq: 2, At: 0, Moves: [['n-1', 1]] });
+  ledger.apply(0, { Seq: 2, At: 0, Releases: [['n-1', [1, 8]]] });
+  ledger.apply(1, { Seq: 1, At: 0, Takes: ['n-1'] });
+  const roster = new Roster(LIMITS);
+  roster.own(ledger, new Map([[1, { member: 'b', nonce: 'y', stamp: 4, baton: 5 }]]), 5, NOW);
+  jobs.clear();
+  // Held back on its way to this node since before the start that the last owner sent with its answer.
+  assert.ok(!roster.receive(report({ Tally: 7 }), NOW));
+  assert.deepEqual(roster.endings(ledger, jobs, NOW), []);
+  assert.ok(roster.receive(report({ Tally: 9 }), NOW));
+  assert.equal(roster.endings(ledger, jobs, NOW)[0]?.outcome, 'undelivered');
+});
--- a/packages/workers/roster.ts
+++ b/packages/workers/roster.ts
@@ -1,4 +1,4 @@
-import type { Ledger, LiveJob, Outcome, Placement } from '#cluster';
+import type { HostBook, HostStatus, Ledger, LiveJob, Outcome, Placement, ShareOwner } from '#cluster';
 import {
   type Cause,
   type Count,
@@ -15,7 +15,7 @@
 
 export type SessionState = 'reporting' | 'recalled' | 'silent' | 'expired';
 
-/** What the owner knows of one worker since it became its owner. */
+/** What the owner knows of one worker since its machine became the owner's. */
 export interface Session {
   state: SessionState;
   report: Report;
@@ -25,17 +25,23 @@
   /** The worker has seen our token: it drops whatever an earlier owner still answers. */
   acknowledged: boolean;
   recallAt: Micros | null;
-  /** Since when no task is on it. */
-  idleSince: Micros | null;
   /** Our attempts that were seen running, with the time they were first seen so. */
   runningSince: Map<string, Micros>;
   /** Attempts launched by the answer to the newest report: their absence from it proves nothing. */
   launched: Set<string>;
-  /** Names of images fetched on it, oldest first. */
-  images: Set<string>;
-  /** Until when it gets no new tasks because it failed some. */
+  /** Until when it gets no new tasks because it refused some. */
   shunnedUntil: Micros;
-  errors: number;
+}
+
+/** One time of owning a machine. */
+interface Term {
+  key: string;
+  /** When this node learnt that the machine is its own. */
+  since: Micros;
+  /** A worker that has seen this token obeys no earlier owner. */
+  baton: number;
+  /** Reports up to this one were for its last owner; held back on their way they may still come. */
+  mark: [shift: Count, tally: Count] | null;
 }
 
 export interface Ending {
@@ -63,49 +69,70 @@
   return Math.max(0, Math.floor((limits.cancel - limits.lease) * 0.996) - SECOND);
 }
 
-const IMAGES_KEPT = 12;
+/** So many failed tasks in a row make a machine faulty. */
+const FAULTY_AFTER = 3;
+/** How long a machine is silent beyond its lease before it is given up. */
+const GIVE_UP: Micros = 15 * SECOND;
 
+/** The workers of the machines that a node owns: what they reported, and what they are to be told. */
 export class Roster {
   readonly sessions = new Map<string, Session>();
+  private readonly terms = new Map<string, Term>();
   /** Attempts that are to be stopped, by piece: the attempt and the time granted for saving. */
   private readonly stops = new Map<string, { try: number; windDownS: number }>();
-  private ownerSince: Micros = 0;
 
   constructor(private readonly limits: RosterLimits) {}
 
-  /** A new leadership knows nothing of what the workers were told before it. */
-  reset(now: Micros): void {
-    this.sessions.clear();
-    this.stops.clear();
-    this.ownerSince = now;
+  /**
+   * Follows what this node owns. A machine that comes (again) into its hands starts afresh, since nothing is
+   * known of what its worker was told in between.
+   */
+  own(ledger: Ledger, owners: ReadonlyMap<number, ShareOwner>, baton: number, now: Micros): void {
+    for (const [host, term] of this.terms) {
+      if (termKey(ledger, owners, host) === term.key) continue;
+      this.terms.delete(host);
+      this.sessions.delete(host);
+    }
+    for (const [host, book] of ledger.hosts) {
+      const key = termKey(ledger, owners, host);
+      if (key === null || this.terms.has(host)) continue;
+      // Let go by an owner that had not heard of it: then only a token yet to come tells old from new.
+      const unheard = book.term > 0 && book.mark === null;
+      this.terms.set(host, { key, since: now, baton: unheard ? baton + 1 : baton, mark: book.mark });
+    }
   }
 
-  /** Takes a report in; false if a newer one from this worker is known already. */
-  receive(report: Report, baton: number, now: Micros): boolean {
+  owns(host: string): boolean {
+    return this.terms.has(host);
+  }
+
+  ownedHosts(): Iterable<string> {
+    return this.terms.keys();
+  }
+
+  /** Takes a report in; false if a newer one from this worker is known already, or it isn't ours. */
+  receive(report: Report, now: Micros): boolean {
+    const term = this.terms.get(report.Host);
     const old = this.sessions.get(report.Host);
-    if (old && !newer(report, old.report)) return false;
+    if (!term || (old && !newer(report, old.report))) return false;
+    if (term.mark && !newer(report, { Shift: term.mark[0], Tally: term.mark[1] })) return false;
     const sameSession = old && sameCount(old.report.Shift, report.Shift);
     const session: Session = {
       state: 'reporting',
       report,
       heardAt: now,
       answeredAt: old?.answeredAt ?? -Infinity,
-      acknowledged: sameCount(report.Baton, baton),
+      acknowledged: report.Baton >= term.baton,
       recallAt: null,
-      idleSince: null,
       runningSince: sameSession ? old.runningSince : new Map<string, Micros>(),
       launched: new Set(),
-      images: old?.images ?? new Set<string>(),
       shunnedUntil: old?.shunnedUntil ?? -Infinity,
-      errors: old?.errors ?? 0,
     };
     const recall = report.RecallS ?? null;
     if (recall !== null) session.recallAt = now + fromSeconds(recall);
     // A notice is not taken back, so a report without it after one with it must not undo it.
     else if (old?.recallAt !== null && old?.recallAt !== undefined) session.recallAt = old.recallAt;
     if (session.recallAt !== null) session.state = 'recalled';
-    const busy = report.Pieces.some((p) => p.Status !== 'exited');
-    if (!busy) session.idleSince = old?.idleSince ?? now;
     for (const p of report.Pieces) {
       if (p.Status === 'running' && !session.runningSince.has(attemptKey(p.Piece, p.Try))) {
         session.runningSince.set(attemptKey(p.Piece, p.Try), now);
@@ -120,14 +147,6 @@
     if (session) session.answeredAt = now;
   }
 
-  noteImage(host: string, bundle: string): void {
-    const images = this.sessions.get(host)?.images;
-    if (!images) return;
-    images.delete(bundle);
-    images.add(bundle);
-    if (images.size > IMAGES_KEPT) images.delete(images.values().next().value as string);
-  }
-
   stop(placement: Placement, windDownS: number): void {
     this.stops.set(placement.piece, { try: placement.try, windDownS });
   }
@@ -136,19 +155,12 @@
     return this.stops.get(placement.piece)?.try === placement.try;
   }
 
-  forget(host: string): void {
-    this.sessions.delete(host);
-  }
-
   /** Moves every session to the state that its silence calls for. */
   advance(now: Micros, ledger: Ledger): void {
     for (const [host, s] of this.sessions) {
       const silence = now - s.heardAt;
-      if (this.leaseOver(s, now)) this.enter(s, 'expired');
-      else if (s.state === 'reporting' && silence > this.limits.report * 1.5 + 1500 * MS)
-        this.enter(s, 'silent');
-      if (ledger.onHost.has(host)) s.idleSince = null;
-      else s.idleSince ??= now;
+      if (this.leaseOver(host, s, now)) this.enter(s, 'expired');
+      else if (s.state === 'reporting' && silence > this.silenceLimit()) this.enter(s, 'silent');
     }
     for (const [piece, stop] of this.stops) {
       const at = parsePiece(piece);
@@ -156,25 +168,41 @@
     }
   }
 
+  /** What the log should say of a machine that this node owns. */
+  status(book: HostBook, now: Micros): HostStatus {
+    const session = this.sessions.get(book.host);
+    if (session) {
+      if (session.state === 'reporting') return book.errors >= FAULTY_AFTER ? 'faulty' : 'up';
+      if (session.state === 'recalled') return 'recalled';
+      const expired = session.state === 'expired';
+      return expired && now > session.heardAt + withDrift(this.limits.lease) + GIVE_UP ? 'lost' : 'silent';
+    }
+    const term = this.terms.get(book.host);
+    if (!term || book.status === 'new' || book.status === 'lost') return book.status;
+    // It was up under an earlier owner and has yet to find this one.
+    if (now > term.since + withDrift(this.limits.cancel)) return 'lost';
+    return now > term.since + this.silenceLimit() + 2 * SECOND ? 'silent' : book.status;
+  }
+
   /** Every placement that is proven off its machine, with how it ended. */
   endings(ledger: Ledger, jobs: ReadonlyMap<string, LiveJob>, now: Micros): Ending[] {
     const endings: Ending[] = [];
-    for (const [host, session] of this.sessions) {
+    for (const [host, term] of this.terms) {
       if (!ledger.onHost.has(host)) continue;
+      const session = this.sessions.get(host);
+      if (!session) {
+        // Not heard of since it became ours: whoever was entitled before must have fallen silent by now, and
+        // the lease on top of that is over.
+        if (now <= term.since + withDrift(this.limits.cancel)) continue;
+        for (const placement of ledger.placementsOn(host)) endings.push({ placement, outcome: 'lost' });
+        continue;
+      }
       const pieces = new Map(session.report.Pieces.map((p) => [p.Piece, p]));
       for (const placement of ledger.placementsOn(host)) {
         const outcome = this.outcome(placement, session, pieces.get(placement.piece), jobs, now);
         if (outcome) endings.push({ placement, outcome });
       }
     }
-    // A machine not heard of since the last change of owner: whoever was entitled before must have fallen
-    // silent by now, and the lease on top of that is over.
-    if (now > this.ownerSince + withDrift(this.limits.cancel)) {
-      for (const host of ledger.onHost.keys()) {
-        if (this.sessions.has(host)) continue;
-        for (const placement of ledger.placementsOn(host)) endings.push({ placement, outcome: 'lost' });
-      }
-    }
     return endings;
   }
 
@@ -226,7 +254,7 @@
     }
     const present = piece !== undefined && sameCount(piece.Try, placement.try);
     if (present && piece.Status === 'exited') return outcomeOf(piece.Cause ?? 'error');
-    if (this.leaseOver(session, now)) return 'lost';
+    if (this.leaseOver(placement.host, session, now)) return 'lost';
     if (present) return null;
     // Absent from the newest report of a worker that obeys our token only: no answer to an earlier report can
     // still take effect, and the answer to this one carried no start of it. If it isn't wanted any more, it is
@@ -237,11 +265,17 @@
   }
 
   /** The worker's lease has run out for certain, whoever may have answered it last. */
-  private leaseOver(session: Session, now: Micros): boolean {
-    const own = session.answeredAt + withDrift(this.limits.lease);
-    const others = session.acknowledged ? -Infinity : this.ownerSince + withDrift(this.limits.cancel);
-    const heard = session.heardAt + withDrift(this.limits.lease);
-    return now > Math.max(own, others, heard);
+  private leaseOver(host: string, session: Session, now: Micros): boolean {
+    const since = this.terms.get(host)?.since ?? now;
+    const lease = withDrift(this.limits.lease);
+    // An earlier owner that is superseded without knowing it may answer a worker that has not seen our token
+    // until its own bound; one that gave the machine up itself has stopped before.
+    const others = since + (session.acknowledged ? lease : withDrift(this.limits.cancel));
+    return now > Math.max(session.answeredAt + lease, session.heardAt + lease, others);
+  }
+
+  private silenceLimit(): Micros {
+    return Math.floor(this.limits.report * 1.5) + 1500 * MS;
   }
 
   private enter(session: Session, state: SessionState): void {
@@ -249,7 +283,16 @@
   }
 }
 
-function newer(a: Report, b: Report): boolean {
+/** Names one time of a machine's belonging to one owner; null if it belongs to none of the given. */
+function termKey(ledger: Ledger, owners: ReadonlyMap<number, ShareOwner>, host: string): string | null {
+  const book = ledger.hosts.get(host);
+  const owner = book && book.share !== null ? owners.get(book.share) : undefined;
+  return book && owner ? `${book.share}/${owner.stamp}/${book.term}` : null;
+}
+
+type Age = Pick<Report, 'Shift' | 'Tally'>;
+
+function newer(a: Age, b: Age): boolean {
   if (!sameCount(a.Shift, b.Shift)) return a.Shift > b.Shift;
   return a.Tally > b.Tally;
 }
