Preemption: saving tasks of lower rank, or beyond a guarantee, make room

Only work that saves gives way, after 45 s, and the machine takes nothing else until it is free. The log at info now says every 10 s how the fleet stands.

--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -251,6 +251,10 @@
       const draft = drafts.get(share) ?? {};
       drafts.set(share, { ...draft, Starts: starts, Prices: plan.prices, Unmet: plan.unmet });
     }
+    for (const { placement, windDownS } of plan.stops) {
+      this.log.info({ piece: placement.piece, host: placement.host }, 'stopped to make room');
+      roster.stop(placement, windDownS);
+    }
     if (drafts.size > 0) {
       this.enterRound('committing');
       // A team's limit is kept by all its starts being this node's: the plan relies on every share it covers.
--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -14,6 +14,7 @@
   zonePair,
 } from '#cluster';
 import type { CloudClient } from '#cloud';
+import { shapeOf } from '#pricing';
 import { amountsOf, FleetKeeper, type MovableMachine, planMoves, type ShareNeeds } from '#fleet';
 import type { Settings } from '#settings';
 import type { StoreClient, Write } from '#store';
@@ -26,6 +27,8 @@
 /** A moved machine stays where it is for so long. */
 const SETTLE: Micros = 6 * SECOND;
 const PRICE_GAP = 0.5;
+/** How often the log says how the fleet stands. */
+const TELL_EVERY: Micros = 10 * SECOND;
 
 export interface LeaderParts {
   settings: Settings;
@@ -46,6 +49,7 @@
   private stamp = 0;
   private lastTypes: Micros = -Infinity;
   private lastShares: Micros = -Infinity;
+  private lastTold: Micros = -Infinity;
   private assigning = false;
   private readonly movedAt = new Map<string, Micros>();
 
@@ -80,6 +84,7 @@
     const outlooks = scheduler.survey(replica.owners);
     const needs = this.move(outlooks);
     this.fleet.step(needs);
+    this.tell();
     const draft = this.fleet.draft();
     if (isWorthARecord(draft)) {
       if (await writer.append(new Map<LogId, RecordDraft>([['lead', draft]]))) this.fleet.landed(draft);
@@ -218,6 +223,29 @@
     }));
   }
 
+  /** How the fleet stands: CPUs up and placed, by shape. */
+  private tell(): void {
+    const { replica, clock, log } = this.parts;
+    if (clock.now() - this.lastTold < TELL_EVERY) return;
+    this.lastTold = clock.now();
+    const shapes: Record<string, { machines: number; booting: number; cpus: number; placed: number }> = {};
+    for (const host of replica.ledger.hosts.values()) {
+      const row = (shapes[shapeOf(host.build, host.loaners)] ??= {
+        machines: 0,
+        booting: 0,
+        cpus: 0,
+        placed: 0,
+      });
+      if (host.status === 'new') row.booting++;
+      else {
+        row.machines++;
+        row.cpus += replica.types.get(host.build)?.Cpus ?? 0;
+        for (const p of replica.ledger.placementsOn(host.host)) row.placed += p.cpus;
+      }
+    }
+    log.info({ jobs: replica.jobs.size, shapes }, 'fleet');
+  }
+
   private async readTypes(): Promise<void> {
     const { cloud, clock, membership, replica, settings, store } = this.parts;
     this.lastTypes = clock.now();
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -8,17 +8,31 @@
   type ShapePrice,
   type StartGroup,
 } from '#cluster';
-import { amountsOf, type Coming, type NeedRow } from '#fleet';
+import { amountsOf, type Coming, type NeedRow, suits } from '#fleet';
 import {
   type Amounts,
+  type Claim,
+  fits,
+  planStops,
   playRound,
   type RoomyMachine,
   type RoundOptions,
   take,
+  type Victim,
   type WaitingJob,
 } from '#pricing';
 import type { Settings } from '#settings';
-import { type Clock, fromSeconds, type Micros, MS, parsePiece, type Rank, sameCount, SECOND } from '#wire';
+import {
+  type Clock,
+  fromSeconds,
+  type Micros,
+  MS,
+  parsePiece,
+  type Rank,
+  RANKS,
+  sameCount,
+  SECOND,
+} from '#wire';
 import { attemptKey, type Ending, type Roster, type Session } from '#workers';
 
 export interface RoundPlan {
@@ -26,6 +40,8 @@
   starts: Map<number, StartGroup[]>;
   prices: Record<string, [number, number, number]>;
   unmet: Record<string, number>;
+  /** Running tasks that are to make room. */
+  stops: { placement: Placement; windDownS: number }[];
 }
 
 /** What the leader foresees of one owner's next round. */
@@ -47,6 +63,12 @@
 /** A machine whose room comes free within this time counts as on its way. */
 const SOON: Micros = 10 * SECOND;
 const SHUN: Micros = 20 * SECOND;
+/** A task that waits this long may have others stopped. */
+const CLAIM_AFTER: Micros = 4 * SECOND;
+/** A task is stopped only after it has been on its machine for so long, and not when it is almost done. */
+const SETTLED: Micros = 45 * SECOND;
+const ALMOST_DONE: Micros = 12 * SECOND;
+const MOST_STOPS = 6;
 
 const OPTIONS: RoundOptions = {
   passes: 30,
@@ -125,7 +147,7 @@
       if (here.length > 0) starts.set(share, []);
     }
     this.group(result.starts, starts);
-    return { starts, prices, unmet };
+    return { starts, prices, unmet, stops: this.stops(result.needs, machines, result.left) };
   }
 
   /** The leader's view of every owner's next round, from the log alone. */
@@ -153,6 +175,46 @@
     return Math.max(0, began + whole - this.clock.now());
   }
 
+  /** Tasks that have to make room, once what waits has done so for long enough to be worth it. */
+  private stops(
+    needs: readonly NeedRow[],
+    machines: readonly RoomyMachine[],
+    left: ReadonlyMap<string, Amounts>,
+  ) {
+    const { ledger, jobs } = this.replica;
+    const wall = this.clock.wall();
+    const team = (crew: string) => this.settings.teams.find((t) => t.name === crew);
+    const claims: Claim[] = [];
+    for (const { job, count } of needs) {
+      const spec = jobs.get(job.id)?.spec;
+      if (!spec || wall - (jobs.get(job.id)?.at ?? 0) * MS < CLAIM_AFTER) continue;
+      const guaranteed = ledger.used(job.crew).cpus + job.need.cpus <= (team(job.crew)?.cpus ?? 0);
+      const rank = RANKS.indexOf(spec.Rank);
+      if (guaranteed || rank > RANKS.indexOf('normal')) claims.push({ job, count, rank, guaranteed });
+    }
+    if (claims.length === 0) return [];
+    const victims = new Map<string, Victim & { placement: Placement; windDownS: number }>();
+    for (const { host } of machines) {
+      for (const p of ledger.placementsOn(host)) {
+        const spec = jobs.get(p.job)?.spec;
+        // A start that is stopped too soon was no start to its user.
+        if (!spec || wall - p.at * MS < SETTLED || this.remaining(p) < ALMOST_DONE) continue;
+        const { cpus, gpus, memGb, piece } = p;
+        const beyond = ledger.used(p.crew).cpus > (team(p.crew)?.cpus ?? 0);
+        const row = { cpus, gpus, memGb, piece, host, rank: RANKS.indexOf(spec.Rank), beyond };
+        const windDownS = Math.ceil(spec.StashS) + 1;
+        victims.set(piece, { ...row, saves: spec.BookmarkS > 0, placement: p, windDownS });
+      }
+    }
+    const rows = machines.map((m) => ({
+      host: m.host,
+      left: left.get(m.host) ?? m.room,
+      allowed: (job: WaitingJob) => suits(job, m) && fits(job.need, m.total),
+    }));
+    const chosen = planStops({ claims, machines: rows, victims: [...victims.values()], most: MOST_STOPS });
+    return chosen.flatMap((v) => victims.get(v.piece) ?? []);
+  }
+
   private play(shares: ReadonlySet<number>, machines: RoomyMachine[], ending: ReadonlySet<Placement>) {
     const { ledger } = this.replica;
     const teams = this.settings.teams.filter((t) => shares.has(this.shareOf(t.name)));
@@ -189,6 +251,8 @@
     const machines: RoomyMachine[] = [];
     for (const [host, session] of this.roster.sessions) {
       if (session.state !== 'reporting' || session.shunnedUntil > now) continue;
+      // What a stop frees is for the task it was stopped for: the most urgent one, once all of it is free.
+      if ([...this.replica.ledger.placementsOn(host)].some((p) => this.roster.isStopping(p))) continue;
       const machine = this.roomy(host, ending);
       // Something on it that the books don't have is being stopped; until it is gone the room is unknown.
       if (machine && !this.hasStranger(host, session)) machines.push(machine);
--- a/packages/pricing/index.ts
+++ b/packages/pricing/index.ts
@@ -1,2 +1,3 @@
 export * from './round.js';
 export * from './types.js';
+export * from './preempt.js';
--- /dev/null
+++ b/packages/pricing/preempt.ts
@@ -0,0 +1,63 @@
+import { fits, take } from './round.js';
+import type { Amounts, WaitingJob } from './types.js';
+
+/** A running task as one that may have to make room. */
+export interface Victim extends Amounts {
+  piece: string;
+  host: string;
+  rank: number;
+  /** Its team runs more than its guarantee. */
+  beyond: boolean;
+  /** Its progress can be saved. */
+  saves: boolean;
+}
+
+export interface Claim {
+  job: WaitingJob;
+  count: number;
+  rank: number;
+  /** It lies within its team's guarantee. */
+  guaranteed: boolean;
+}
+
+export interface PreemptInput {
+  /** Tasks that found no room and have waited long enough to stop others for, most urgent first. */
+  claims: readonly Claim[];
+  machines: readonly { host: string; left: Amounts; allowed: (job: WaitingJob) => boolean }[];
+  /** Tasks that may be stopped at all. */
+  victims: readonly Victim[];
+  most: number;
+}
+
+/**
+ * Which tasks to stop: those of lower rank for one of higher rank, and what a team runs beyond its guarantee
+ * for one within its own. Only work that can be saved gives way, and as little of it as will do.
+ */
+export function planStops({ claims, machines, victims, most }: PreemptInput): Victim[] {
+  const stops: Victim[] = [];
+  const used = new Set<string>();
+  for (const { job, count, rank, guaranteed } of claims) {
+    for (let i = 0; i < count; i++) {
+      let best: { host: string; chosen: Victim[] } | null = null;
+      for (const machine of machines) {
+        if (used.has(machine.host) || !machine.allowed(job)) continue;
+        const room = { ...machine.left };
+        const chosen: Victim[] = [];
+        const open = victims
+          .filter((v) => v.host === machine.host && v.saves && (v.rank < rank || (guaranteed && v.beyond)))
+          .sort((a, b) => a.rank - b.rank);
+        for (const v of open) {
+          if (fits(job.need, room)) break;
+          take(room, v, -1);
+          chosen.push(v);
+        }
+        if (fits(job.need, room) && (!best || chosen.length < best.chosen.length))
+          best = { host: machine.host, chosen };
+      }
+      if (!best || stops.length + best.chosen.length > most) break;
+      used.add(best.host);
+      stops.push(...best.chosen);
+    }
+  }
+  return stops;
+}
