--- /dev/null
+++ b/packages/api/api.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { type AddressInfo } from 'node:net';
+import { after, before, test } from 'node:test';
+import type { Server } from 'node:http';
+import { decode, encode, httpCaller, type Method, SECOND } from '#wire';
+import { createApp, listen, type Service } from './index.js';
+
+const seen: unknown[] = [];
+const service: Service = {
+  submit: (body) => {
+    seen.push(body);
+    return Promise.resolve({ status: 503, body: { error: 'later' }, retryAfterS: 2 });
+  },
+  show: (id) => Promise.resolve({ status: 200, body: { Uid: id } }),
+  withdraw: () => Promise.reject(new Error('a fault')),
+  report: () => Promise.resolve({ status: 200, body: { Baton: 18446744073709551615n } }),
+  health: () => ({ status: 200, body: {} }),
+};
+const faults: unknown[] = [];
+let server: Server;
+let address = '';
+
+before(async () => {
+  server = await listen(
+    createApp(service, (cause) => faults.push(cause)),
+    '127.0.0.1:0',
+  );
+  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+});
+after(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+test('paths and methods beyond the protocol get 404 and 405, a fault inside 500', async () => {
+  const call = httpCaller(2);
+  const cases: [Method, string, number][] = [
+    ['GET', '/nothing', 404],
+    ['GET', '/submissions/j-1/withdraw', 405],
+    ['DELETE', '/submissions/j-1', 405],
+    ['GET', '/submissions/j-1', 200],
+    ['POST', '/submissions/j-1/withdraw', 500],
+    ['GET', '/healthz', 200],
+  ];
+  for (const [method, path, status] of cases) {
+    const reply = await call(address, method, path, undefined, 5 * SECOND);
+    assert.equal(reply.status, status, `${method} ${path}`);
+  }
+  assert.equal(faults.length, 1);
+});
+
+test('a body that is too large, not MessagePack or not a map gets 400 and is not passed on', async () => {
+  seen.length = 0;
+  const long = Buffer.alloc(70_000, 1);
+  const bodies = [
+    long,
+    Buffer.from([0xc1]),
+    encode([1, 2]),
+    encode('text'),
+    Buffer.alloc(0),
+    Buffer.from([1, 2]),
+  ];
+  for (const body of bodies) {
+    const reply = await fetch(`http://${address}/submissions`, {
+      method: 'POST',
+      body: new Uint8Array(body),
+    });
+    assert.equal(reply.status, 400, body.subarray(0, 8).toString('hex'));
+  }
+  assert.deepEqual(seen, []);
+});
+
+test('a refusal says when to come back, and counts to 2^64 reach the wire', async () => {
+  const reply = await fetch(`http://${address}/submissions`, {
+    method: 'POST',
+    body: new Uint8Array(encode({ Uid: 'j-1' })),
+  });
+  assert.equal(reply.status, 503);
+  assert.equal(reply.headers.get('Retry-After'), '2');
+  const report = await fetch(`http://${address}/v1/report`, {
+    method: 'POST',
+    body: new Uint8Array(encode({})),
+  });
+  const body = decode(Buffer.from(await report.arrayBuffer())) as { Baton: bigint };
+  assert.equal(body.Baton, 18446744073709551615n);
+});
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -11,7 +11,7 @@
   Replica,
   type ShareOwner,
 } from '#cluster';
-import type { Settings } from '#settings';
+import type { Settings, Tuning } from '#settings';
 import { StoreClient } from '#store';
 import { type Caller, type Clock, type Micros, MS, parseReport, type Report, SECOND, sleep } from '#wire';
 import { type Ending, renewalBound, Roster } from '#workers';
@@ -21,6 +21,7 @@
 
 export interface ControllerParts {
   settings: Settings;
+  tuning: Tuning;
   clock: Clock;
   /** Uniform in [0, 1). */
   random: () => number;
@@ -33,9 +34,6 @@
 
 type RoundState = 'resting' | 'planning' | 'committing' | 'finishing' | 'leading' | 'stopped';
 
-/** Least time between two rounds, and the time after which one is played without any news. */
-const ROUND_GAP: Micros = 250 * MS;
-const ROUND_IDLE: Micros = SECOND;
 /** New starts are sent only while the state is known to be no older than this. */
 const START_FRESH: Micros = 3 * SECOND;
 /** How long the answer to a report with news waits for the round that takes it in. */
@@ -80,7 +78,7 @@
     const wall = (): number => Math.floor(clock.wall() / MS);
     this.writer = new LogWriter(store, replica, membership, wall, settings, log);
     this.users = new UserDesk(settings, store, replica, clock);
-    this.scheduler = new Scheduler(settings, clock, random, replica, this.roster, log);
+    this.scheduler = new Scheduler(settings, parts.tuning, clock, random, replica, this.roster, log);
     const { writer, scheduler } = this;
     const wake = (): void => {
       this.wake();
@@ -202,7 +200,7 @@
 
   private async playRounds(): Promise<void> {
     while (!this.stopped()) {
-      const gap = this.lastRound + ROUND_GAP - this.clock.now();
+      const gap = this.lastRound + this.parts.tuning.roundGap - this.clock.now();
       if (gap > 0) await sleep(this.clock, gap);
       if (!this.dirty) await this.rest();
       this.dirty = false;
@@ -226,7 +224,7 @@
 
   private rest(): Promise<void> {
     return new Promise((resolve) => {
-      const timer = this.clock.after(ROUND_IDLE, done);
+      const timer = this.clock.after(this.parts.tuning.roundIdle, done);
       this.wakeRound = done;
       function done(): void {
         timer.cancel();
--- a/packages/daemon/main.ts
+++ b/packages/daemon/main.ts
@@ -1,7 +1,14 @@
 import { hrtime } from 'node:process';
 import { randomBytes } from 'node:crypto';
 import { createApp, listen } from '#api';
-import { loadSettings, type Settings, SettingsError } from '#settings';
+import {
+  loadSettings,
+  loadTuning,
+  type Settings,
+  SettingsError,
+  standardTuning,
+  type Tuning,
+} from '#settings';
 import { type Clock, httpCaller } from '#wire';
 import { pino, destination } from 'pino';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -9,6 +16,7 @@
 import { pingOver, servePings } from './links.js';
 
 const USAGE_ERROR = 2;
+const USAGE = 'usage: main --config FILE [--operator FILE]';
 
 function steadyClock(): Clock {
   return {
@@ -30,13 +38,24 @@
   return () => (generator.next() >>> 0) / 4294967296;
 }
 
-function fileFrom(args: readonly string[]): string {
-  const [flag, file] = args;
-  if (flag === '--config' && file !== undefined && args.length === 2) return file;
-  throw new SettingsError('usage: main --config FILE');
+interface Files {
+  config: string;
+  operator: string | null;
 }
 
-async function run(settings: Settings): Promise<void> {
+function filesFrom(args: readonly string[]): Files {
+  const given = new Map<string, string>();
+  for (let i = 0; i < args.length; i += 2) {
+    const [flag, file] = [args[i] ?? '', args[i + 1]];
+    if (!['--config', '--operator'].includes(flag) || file === undefined) throw new SettingsError(USAGE);
+    given.set(flag, file);
+  }
+  const config = given.get('--config');
+  if (config === undefined) throw new SettingsError(USAGE);
+  return { config, operator: given.get('--operator') ?? null };
+}
+
+async function run(settings: Settings, tuning: Tuning): Promise<void> {
   const level = process.env['LOG_LEVEL'] ?? 'info';
   const log = pino(
     { level: ['error', 'info', 'debug'].includes(level) ? level : 'info', base: { member: settings.member } },
@@ -45,6 +64,7 @@
   const incarnation = randomBytes(6).toString('hex');
   const controller = new Controller({
     settings,
+    tuning,
     clock: steadyClock(),
     random: uniform(randomBytes(4).readInt32LE()),
     incarnation,
@@ -75,7 +95,9 @@
 }
 
 try {
-  await run(loadSettings(fileFrom(process.argv.slice(2))));
+  const files = filesFrom(process.argv.slice(2));
+  const tuning = files.operator === null ? standardTuning() : await loadTuning(files.operator);
+  await run(loadSettings(files.config), tuning);
 } catch (cause) {
   process.stderr.write(`micaworks: ${cause instanceof Error ? cause.message : String(cause)}\n`);
   process.exit(cause instanceof SettingsError ? USAGE_ERROR : 1);
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -21,7 +21,7 @@
   type Victim,
   type WaitingJob,
 } from '#pricing';
-import type { Settings } from '#settings';
+import type { Settings, Tuning } from '#settings';
 import {
   type Clock,
   fromSeconds,
@@ -58,8 +58,6 @@
 }
 
 const RANK_PRIORITY: Record<Rank, number> = { best_effort: 1, normal: 2, urgent: 4, prod: 8 };
-/** Waiting this long doubles a job's priority. */
-const WAIT_DOUBLES: Micros = 60 * SECOND;
 /** A machine whose room comes free within this time counts as on its way. */
 const SOON: Micros = 10 * SECOND;
 const SHUN: Micros = 20 * SECOND;
@@ -70,29 +68,27 @@
 const ALMOST_DONE: Micros = 12 * SECOND;
 const MOST_STOPS = 6;
 
-const OPTIONS: RoundOptions = {
-  passes: 30,
-  step: 0.1,
-  gpuShapeCost: 0.5,
-  gpuTaskWeight: 0.5,
-  guaranteeWeight: 0.5,
-  mostStarts: 300,
-  choices: 6,
-};
+/** Starts in one round at the most, so that its records stay small. */
+const MOST_STARTS = 300;
 
 /** Turns the ledger, the reports and the live jobs into a round's input, and its result into a record. */
 export class Scheduler {
   /** By class: how long its tasks really run against the owners' estimates. */
   private ratios = new Map<string, number>();
 
+  private readonly options: RoundOptions;
+
   constructor(
     private readonly settings: Settings,
+    private readonly tuning: Tuning,
     private readonly clock: Clock,
     private readonly random: () => number,
     private readonly replica: Replica,
     private readonly roster: Roster,
     private readonly log: Logger,
-  ) {}
+  ) {
+    this.options = { ...tuning, mostStarts: MOST_STARTS };
+  }
 
   /** The share that a team belongs to: teams are dealt out in the order of the settings. */
   shareOf(crew: string): number {
@@ -235,7 +231,7 @@
         most: { cpus: t.cpusMax, gpus: t.gpusMax },
       })),
       prices: ledger.prices.get(first) ?? new Map<string, ShapePrice>(),
-      options: OPTIONS,
+      options: this.options,
       random: this.random,
     });
     const needs = jobs
@@ -324,7 +320,7 @@
         id,
         crew: spec.Crew,
         need: { cpus: spec.Cpus, gpus: spec.Gpus, memGb: spec.MemGb },
-        priority: RANK_PRIORITY[spec.Rank] * (1 + waited / WAIT_DOUBLES),
+        priority: RANK_PRIORITY[spec.Rank] * (1 + waited / this.tuning.waitDoubles),
         order: job.stamp,
         waiting: count,
         pieces: spec.Pieces,
--- a/packages/settings/index.ts
+++ b/packages/settings/index.ts
@@ -2,6 +2,10 @@
 import { parse } from 'smol-toml';
 import * as z from 'zod/mini';
 import { fromSeconds, type Micros } from '#wire';
+import { SettingsError } from './error.js';
+
+export * from './error.js';
+export * from './operator.js';
 
 const text = z.string().check(z.minLength(1));
 const positive = z.number().check(z.positive());
@@ -84,9 +88,6 @@
   sockets: number;
 }
 
-/** Names the field that is wrong; `main` prints it and exits with code 2. */
-export class SettingsError extends Error {}
-
 export function parseSettings(toml: string): Settings {
   let raw: unknown;
   try {
@@ -136,7 +137,7 @@
   try {
     toml = readFileSync(file, 'utf8');
   } catch (cause) {
-    throw new SettingsError(`${file}: ${String(cause)}`);
+    throw new SettingsError(`${file}: ${cause instanceof Error ? cause.message : String(cause)}`);
   }
   return parseSettings(toml);
 }
--- /dev/null
+++ b/packages/settings/settings.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { SECOND } from '#wire';
+import { parseSettings, parseTuning, SettingsError, standardTuning } from './index.js';
+
+const TOML = `
+member = "hive-0"
+domain = "almaty"
+bind = "10.0.0.1:8080"
+cluster_listen = "10.0.0.1:8081"
+new_field = true
+[[peers]]
+member = "hive-1"
+domain = "astana"
+endpoint = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+initial_size = 3
+zones = ["almaty", "astana"]
+time_bound_ms = 25.0
+[[facts.teams]]
+name = "pricing"
+cpus = 32.0
+cpus_max = 104.0
+[facts.workers]
+report_s = 3.0
+lease_s = 22.0
+cancel_s = 47.0
+[facts.state]
+rps = 80.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+[facts.cloud]
+rps = 10.0
+list_lag_s = 6.0
+[facts.machine_limits]
+cpu = 0.255
+mem_mb = 306.0
+sockets = 2500
+`;
+
+test('the platform file is read into whole microseconds and bytes, unknown fields are ignored', () => {
+  const settings = parseSettings(TOML);
+  assert.equal(settings.lease, 22 * SECOND);
+  assert.equal(settings.valueBytes, 4096);
+  assert.deepEqual(settings.teams[0], { name: 'pricing', cpus: 32, cpusMax: 104, gpus: 0, gpusMax: 0 });
+});
+
+test('a field that is missing or wrong is named', () => {
+  const cases: [RegExp, string, string][] = [
+    [/facts\.workers\.lease_s/, 'lease_s = 22.0', 'lease_s = "long"'],
+    [/facts\.state\.txn_ops/, 'txn_ops = 8', ''],
+    [/^bind/, 'bind = "10.0.0.1:8080"', ''],
+    [/not TOML/, '[facts]', '[facts'],
+  ];
+  for (const [name, from, to] of cases) {
+    assert.throws(
+      () => parseSettings(TOML.replace(from, to)),
+      (e: unknown) => {
+        return e instanceof SettingsError && name.test(e.message) && !e.message.includes('\n');
+      },
+    );
+  }
+});
+
+test("the operators' example is the defaults", async () => {
+  const example = readFileSync(new URL('../../deploy/operator.example.xml', import.meta.url), 'utf8');
+  assert.deepEqual(await parseTuning(example), standardTuning());
+});
+
+test("a wrong value in the operators' file is named, an unknown element ignored", async () => {
+  const passes = (text: string) =>
+    parseTuning(`<micaworks><pricing><passes>${text}</passes></pricing></micaworks>`);
+  assert.equal((await passes('12')).passes, 12);
+  for (const bad of ['0', '1.5', 'many', '']) {
+    await assert.rejects(
+      passes(bad),
+      (e: unknown) => e instanceof SettingsError && /pricing\/passes/.test(e.message),
+    );
+  }
+  await assert.rejects(parseTuning('<micaworks><pricing>'), SettingsError);
+  await assert.rejects(parseTuning('<other/>'), /micaworks/);
+  assert.deepEqual(await parseTuning('<micaworks><later>1</later></micaworks>'), standardTuning());
+});
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -1,6 +1,6 @@
 import { Controller } from '#daemon';
 import { LOGS, type Logger, ownershipKey, parseLogKey, type Ping } from '#cluster';
-import type { Settings } from '#settings';
+import { type Settings, standardTuning } from '#settings';
 import {
   type Fields,
   type JobStatus,
@@ -154,6 +154,7 @@
     const wallOff = Math.floor((this.random() - 0.5) * 100 * MS);
     const controller = new Controller({
       settings,
+      tuning: standardTuning(),
       clock: this.clock.view(isAlive, drift, wallOff),
       random: this.random,
       incarnation: `i${++this.starts}`,
--- a/packages/wire/codec.ts
+++ b/packages/wire/codec.ts
@@ -25,10 +25,9 @@
   return packr.unpack(bytes) as unknown;
 }
 
+/** A plain map. The decoder makes objects of its own of bytes that are no valid value (0xc1) and of extensions. */
 export function isFields(value: unknown): value is Fields {
-  return (
-    typeof value === 'object' && value !== null && !Array.isArray(value) && !(value instanceof Uint8Array)
-  );
+  return typeof value === 'object' && value !== null && Object.getPrototypeOf(value) === Object.prototype;
 }
 
 export function isCount(value: unknown): value is Count {
