Rent for what users' patience does not cover: one slot serves several short tasks in turn

Cause: at the start 32 machines were rented for 67 short tasks, half of them ordinary. Need is scaled by run time over half of the time that the objectives leave.

--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -191,7 +191,7 @@
 
   /** Names this round's moves and returns what they leave to be rented for. */
   private move(outlooks: readonly Outlook[]): ShareNeeds[] {
-    const { replica, clock, log } = this.parts;
+    const { replica, clock, log, scheduler } = this.parts;
     const now = clock.now();
     const cuts = this.cuts();
     const machines: MovableMachine[] = [];
@@ -217,7 +217,7 @@
     if (moves.length > 0) log.debug({ moves }, 'moves');
     return outlooks.map((o) => ({
       share: o.shares[0] ?? 0,
-      needs: left.get(o.member) ?? [],
+      needs: (left.get(o.member) ?? []).map((need) => scheduler.worthRenting(need)),
       soon: o.soon,
       reaches: (hall) => this.reaches(o.member, hall, cuts),
     }));
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -32,6 +32,7 @@
   RANKS,
   sameCount,
   SECOND,
+  type Submission,
 } from '#wire';
 import { attemptKey, type Ending, type Roster, type Session } from '#workers';
 
@@ -171,6 +172,27 @@
     return Math.max(0, began + whole - this.clock.now());
   }
 
+  /**
+   * How many machines' worth of a need is worth renting: where its users leave time, one slot serves several
+   * short tasks in turn.
+   */
+  worthRenting({ job, count }: NeedRow): NeedRow {
+    const spec = this.replica.jobs.get(job.id)?.spec;
+    if (!spec) return { job, count };
+    const run = fromSeconds(spec.ExpectS) * (this.ratios.get(spec.Lane) ?? 1);
+    const patience = Math.max(run, this.patience(spec, run));
+    return { job, count: Math.ceil((count * run) / Math.max(patience, 1)) };
+  }
+
+  /** Half of the time that a job's users leave for waiting; 0 if they tell of none. */
+  private patience(spec: Submission, run: Micros): Micros {
+    const aims = this.settings.objectives
+      .filter((o) => o.lane === spec.Lane && o.within !== null)
+      .map((o) => (o.kind === 'wait' ? (o.within ?? 0) : (o.within ?? 0) - run));
+    if (spec.DueS !== null) aims.push(fromSeconds(spec.DueS) - run);
+    return aims.length === 0 ? 0 : Math.min(...aims) / 2;
+  }
+
   /** Tasks that have to make room, once what waits has done so for long enough to be worth it. */
   private stops(
     needs: readonly NeedRow[],
--- a/packages/settings/index.ts
+++ b/packages/settings/index.ts
@@ -58,6 +58,13 @@
   gpusMax: number;
 }
 
+/** What the users expect of a class of jobs. */
+export interface Objective {
+  kind: string;
+  lane: string | null;
+  within: Micros | null;
+}
+
 export interface Peer {
   member: string;
   domain: string;
@@ -76,6 +83,7 @@
   zones: string[];
   timeBound: Micros;
   teams: Team[];
+  objectives: Objective[];
   report: Micros;
   lease: Micros;
   cancel: Micros;
@@ -119,6 +127,11 @@
       gpus: t.gpus,
       gpusMax: t.gpus_max,
     })),
+    objectives: facts.objectives.map((o) => ({
+      kind: o.kind,
+      lane: o.class ?? null,
+      within: o.within_s === undefined ? null : fromSeconds(o.within_s),
+    })),
     report: fromSeconds(facts.workers.report_s),
     lease: fromSeconds(facts.workers.lease_s),
     cancel: fromSeconds(facts.workers.cancel_s),
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -41,6 +41,7 @@
       { name: 'blue', cpus: 8, cpusMax: 20, gpus: 0, gpusMax: 0 },
       { name: 'green', cpus: 8, cpusMax: 16, gpus: 0, gpusMax: 2 },
     ],
+    objectives: [{ kind: 'finished', lane: 'batch', within: 60 * SECOND }],
     report: 2 * SECOND,
     lease: 9 * SECOND,
     cancel: 25 * SECOND,
