--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -15,7 +15,17 @@
 } from '#cluster';
 import type { CloudClient } from '#cloud';
 import { shapeOf } from '#pricing';
-import { amountsOf, FleetKeeper, type MovableMachine, planMoves, type ShareNeeds } from '#fleet';
+import {
+  amountsOf,
+  type Drainable,
+  type DrainOptions,
+  FleetKeeper,
+  type MovableMachine,
+  planDrains,
+  planMoves,
+  type ShareNeeds,
+  usedPart,
+} from '#fleet';
 import type { Settings } from '#settings';
 import type { StoreClient, Write } from '#store';
 import { type Clock, type Fields, type MachineType, type Micros, SECOND } from '#wire';
@@ -27,6 +37,7 @@
 /** A moved machine stays where it is for so long. */
 const SETTLE: Micros = 6 * SECOND;
 const PRICE_GAP = 0.5;
+const DRAIN: DrainOptions = { poor: 0.6, patience: 6 * SECOND, spare: 2 };
 /** How often the log says how the fleet stands. */
 const TELL_EVERY: Micros = 10 * SECOND;
 
@@ -51,6 +62,7 @@
   private lastShares: Micros = -Infinity;
   private lastTold: Micros = -Infinity;
   private assigning = false;
+  private readonly poorSince = new Map<string, Micros>();
   private readonly movedAt = new Map<string, Micros>();
 
   constructor(private readonly parts: LeaderParts) {
@@ -83,6 +95,7 @@
     this.leaveCutZones();
     const outlooks = scheduler.survey(replica.owners);
     const needs = this.move(outlooks);
+    if (needs.every((n) => n.needs.length === 0)) this.drain(outlooks);
     this.fleet.step(needs);
     this.tell();
     const draft = this.fleet.draft();
@@ -97,6 +110,7 @@
     this.lastTypes = -Infinity;
     this.lastShares = -Infinity;
     this.movedAt.clear();
+    this.poorSince.clear();
     this.fleet.reset();
   }
 
@@ -223,6 +237,27 @@
     }));
   }
 
+  /** Poorly used ordinary machines get no new tasks and go home once empty, while the rest has room to spare. */
+  private drain(outlooks: readonly Outlook[]): void {
+    const { replica, clock } = this.parts;
+    const now = clock.now();
+    const machines: Drainable[] = [];
+    for (const [host, left] of outlooks.flatMap((o) => [...o.left])) {
+      const book = replica.ledger.hosts.get(host);
+      const type = book && replica.types.get(book.build);
+      if (!type) continue;
+      const total = amountsOf(type);
+      if (usedPart({ total, left }) > DRAIN.poor) this.poorSince.delete(host);
+      else if (!this.poorSince.has(host)) this.poorSince.set(host, now);
+      const poorFor = now - (this.poorSince.get(host) ?? now);
+      const { loaners } = book;
+      machines.push({ host, loaners, price: loaners ? type.LowPrice : type.Price, total, left, poorFor });
+    }
+    for (const host of this.poorSince.keys())
+      if (!replica.ledger.hosts.has(host)) this.poorSince.delete(host);
+    for (const host of planDrains(machines, DRAIN)) this.fleet.move(host, 'return', 'poorly used');
+  }
+
   /** How the fleet stands: CPUs up and placed, by shape. */
   private tell(): void {
     const { replica, clock, log } = this.parts;
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -297,7 +297,8 @@
     const room = amountsOf(type);
     for (const p of ledger.placementsOn(host)) if (!ending.has(p)) take(room, p, 1);
     const { build, hall, loaners } = book;
-    return { host, build, hall, loaners, total: amountsOf(type), room, warm: new Set(book.images) };
+    const upkeep = (loaners ? type.LowPrice : type.Price) / Math.max(type.Cpus, 1);
+    return { host, build, hall, loaners, total: amountsOf(type), room, warm: new Set(book.images), upkeep };
   }
 
   /** It failed tasks: each failure in a row doubles the time for which it gets none. */
--- a/packages/fleet/planner.ts
+++ b/packages/fleet/planner.ts
@@ -136,3 +136,49 @@
     .filter((m) => m.idle > (m.loaners ? keep.spot : keep.ordinary) && m.age > keep.least)
     .map((m) => m.host);
 }
+
+export interface Drainable {
+  host: string;
+  loaners: boolean;
+  /** Price per hour. */
+  price: number;
+  total: Amounts;
+  /** Room that its owner's next round will leave on it. */
+  left: Amounts;
+  /** For how long it has been poorly used. */
+  poorFor: Micros;
+}
+
+export interface DrainOptions {
+  /** Up to this part in use counts as poorly used. */
+  poor: number;
+  /** How long it must have been so. */
+  patience: Micros;
+  /** Free CPUs that must stay elsewhere, as a multiple of what is to be drained. */
+  spare: number;
+}
+
+export function usedPart({ total, left }: Pick<Drainable, 'total' | 'left'>): number {
+  return total.cpus > 0 ? 1 - left.cpus / total.cpus : 0;
+}
+
+/**
+ * Which poorly used machines get no new tasks, to go home once theirs have ended: those that waste most, as
+ * long as the others keep room for more than what they run. Spot machines are cheap enough to keep.
+ */
+export function planDrains(machines: readonly Drainable[], options: DrainOptions): string[] {
+  const drains: string[] = [];
+  let free = machines.reduce((sum, m) => sum + Math.max(0, m.left.cpus), 0);
+  const waste = (m: Drainable): number => m.price * (1 - usedPart(m));
+  const poor = machines
+    .filter((m) => !m.loaners && usedPart(m) <= options.poor && m.poorFor >= options.patience)
+    .sort((a, b) => waste(b) - waste(a));
+  for (const m of poor) {
+    const used = m.total.cpus - m.left.cpus;
+    const elsewhere = free - m.left.cpus;
+    if (elsewhere < options.spare * Math.max(used, m.total.cpus * 0.1)) continue;
+    free = elsewhere - used;
+    drains.push(m.host);
+  }
+  return drains;
+}
--- /dev/null
+++ b/packages/fleet/plans.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { WaitingJob } from '#pricing';
+import { SECOND } from '#wire';
+import { type MovableMachine, planMoves } from './moves.js';
+import { type Drainable, planDrains, planRentals, planReturns } from './planner.js';
+
+const TYPE = { Cpus: 4, Gpus: 0, MemGb: 16, CacheGb: 9, FetchGbPerS: 1, BootS: 30, Halls: ['east', 'west'] };
+const SMALL = { ...TYPE, Sku: 'small', Price: 3, LowPrice: 1 };
+const LARGE = { ...TYPE, Sku: 'large', Cpus: 16, MemGb: 64, Price: 11, LowPrice: 5, Halls: ['east'] };
+
+function job(change: Partial<WaitingJob> = {}): WaitingJob {
+  return {
+    ...{
+      id: 'j-1',
+      crew: 'blue',
+      need: { cpus: 4, gpus: 0, memGb: 8 },
+      priority: 2,
+      order: 1,
+      waiting: 9,
+      pieces: 9,
+    },
+    ...{ builds: null, hall: null, samePlace: false, scatter: false, loaners: true, bundle: 'i' },
+    placedByHall: new Map(),
+    ...change,
+  };
+}
+
+const base = {
+  types: [SMALL, LARGE],
+  coming: [],
+  perHall: new Map(),
+  refused: () => false,
+  mostPerRequest: 50,
+};
+
+test('rentals: the cheapest offer per task, spread over zones, none for what is on its way', () => {
+  const plans = planRentals({ ...base, needs: [{ job: job(), count: 4 }] });
+  assert.deepEqual(plans.map((p) => `${p.build}/${p.hall}/${p.loaners}/${p.number}`).sort(), [
+    'small/east/true/2',
+    'small/west/true/2',
+  ]);
+  const coming = [{ build: 'small', hall: 'west', loaners: true, room: { cpus: 8, gpus: 0, memGb: 16 } }];
+  const fewer = planRentals({ ...base, coming, needs: [{ job: job(), count: 3 }] });
+  assert.equal(
+    fewer.reduce((n, p) => n + p.number, 0),
+    1,
+  );
+});
+
+test('rentals: refused offers and kinds that the job does not allow are gone round', () => {
+  const refused = (o: { build: string; loaners: boolean }): boolean => o.build === 'small' && o.loaners;
+  const [plan] = planRentals({ ...base, refused, needs: [{ job: job(), count: 4 }] });
+  assert.deepEqual([plan?.build, plan?.loaners, plan?.number], ['large', true, 1]);
+  const ordinary = planRentals({
+    ...base,
+    needs: [{ job: job({ loaners: false, hall: 'west' }), count: 1 }],
+  });
+  assert.deepEqual(ordinary, [{ build: 'small', hall: 'west', loaners: false, number: 1 }]);
+});
+
+test('returns: only what has idled long enough and has used up the least it costs', () => {
+  const idle = { idle: 50 * SECOND, age: 90 * SECOND, loaners: true };
+  const keep = { ordinary: 15 * SECOND, spot: 40 * SECOND, least: 55 * SECOND };
+  const machines = [
+    { ...idle, host: 'n-1' },
+    { ...idle, host: 'n-2', idle: 20 * SECOND },
+    { ...idle, host: 'n-3', idle: 20 * SECOND, loaners: false },
+    { ...idle, host: 'n-4', age: 30 * SECOND },
+  ];
+  assert.deepEqual(planReturns(machines, keep), ['n-1', 'n-3']);
+});
+
+test('drains: the ordinary machine that wastes most, and only while the rest has room to spare', () => {
+  const total = { cpus: 16, gpus: 0, memGb: 64 };
+  const poor = (host: string, change: Partial<Drainable> = {}): Drainable => ({
+    ...{ host, loaners: false, price: 11, total, left: { ...total, cpus: 12 }, poorFor: 9 * SECOND },
+    ...change,
+  });
+  const options = { poor: 0.5, patience: 6 * SECOND, spare: 2 };
+  const cheap = poor('n-2', { price: 3 });
+  assert.deepEqual(planDrains([cheap, poor('n-1')], options), ['n-1']);
+  assert.deepEqual(planDrains([poor('n-1')], options), []);
+  assert.deepEqual(planDrains([poor('n-1', { loaners: true }), poor('n-2', { poorFor: 0 })], options), []);
+});
+
+test('moves: unused room first, never back at once or across a cut, then from the lowest price to the highest', () => {
+  const total = { cpus: 4, gpus: 0, memGb: 16 };
+  const machine = (host: string, change: Partial<MovableMachine> = {}): MovableMachine => ({
+    ...{
+      host,
+      build: 'small',
+      hall: 'east',
+      loaners: false,
+      owner: 'b',
+      total,
+      room: { ...total },
+      settling: false,
+    },
+    ...change,
+  });
+  const owners = [
+    { owner: 'a', price: 2, needs: [{ job: job(), count: 1 }] },
+    { owner: 'b', price: 0, needs: [] },
+  ];
+  const full = { cpus: 0, gpus: 0, memGb: 8 };
+  const moves = (machines: MovableMachine[], cut = false): string[] =>
+    planMoves({ owners, machines, reaches: () => !cut, priceGap: 0.5 }).moves.map((m) => m.host);
+  assert.deepEqual(moves([machine('n-1', { room: full }), machine('n-2')]), ['n-2']);
+  assert.deepEqual(moves([machine('n-1', { room: full }), machine('n-2', { settling: true })]), ['n-1']);
+  assert.deepEqual(moves([machine('n-1')], true), []);
+  assert.deepEqual(moves([machine('n-1', { owner: 'a', room: full })]), []);
+});
--- a/packages/pricing/round.test.ts
+++ b/packages/pricing/round.test.ts
@@ -50,6 +50,7 @@
       total,
       room: { ...total },
       warm: new Set<string>(),
+      upkeep: 1,
     },
     ...change,
   };
@@ -168,3 +169,10 @@
   const ranks = [job('j-1', { order: 1 }), job('j-2', { order: 2, priority: 4 })];
   assert.equal(playRound(input(ranks, one)).starts[0]?.job, 'j-2');
 });
+
+test('of shapes of equal utility the cheaper to keep is taken', () => {
+  const machines = [machine('n-1', { upkeep: 3 }), machine('n-2', { loaners: true, upkeep: 1 })];
+  for (const order of [machines, [...machines].reverse()]) {
+    assert.equal(playRound(input([job('j-1')], order)).starts[0]?.host, 'n-2');
+  }
+});
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -43,6 +43,7 @@
   room: Amounts;
   total: Amounts;
   price: Price;
+  upkeep: number;
 }
 
 /** Tasks of one job that rank alike: those within their team's guarantee, or those beyond it. */
@@ -68,15 +69,16 @@
     let pool = pools.get(shape);
     if (!pool) {
       const price = { ...(prices.get(shape) ?? { cpu: 0, gpu: 0, mem: 0 }) };
-      const { build, loaners } = machine;
-      pool = { shape, build, loaners, machines: [], room: nothing(), total: nothing(), price };
+      const { build, loaners, upkeep } = machine;
+      pool = { shape, build, loaners, upkeep, machines: [], room: nothing(), total: nothing(), price };
       pools.set(shape, pool);
     }
     pool.machines.push({ ...machine, room: { ...machine.room } });
     take(pool.room, machine.room, -1);
     take(pool.total, machine.total, -1);
   }
-  return [...pools.values()];
+  // Cheapest first: of shapes of equal utility the first is chosen.
+  return [...pools.values()].sort((a, b) => a.upkeep - b.upkeep || (a.shape < b.shape ? -1 : 1));
 }
 
 /**
@@ -163,7 +165,7 @@
     const open = pools
       .filter((pool) => allowed(segment.job, pool))
       .map((pool) => ({ pool, u: utility(segment, pool, top, options) }))
-      .sort((a, b) => b.u - a.u);
+      .sort((a, b) => (Math.abs(b.u - a.u) > EPS ? b.u - a.u : a.pool.upkeep - b.pool.upkeep));
     return { segment, open, best: open[0]?.u ?? -Infinity };
   });
   ranked.sort((a, b) => b.best - a.best || a.segment.job.order - b.segment.job.order);
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -40,6 +40,8 @@
   /** Room as last reported, less starts sent since. */
   room: Amounts;
   warm: ReadonlySet<string>;
+  /** What the machine costs per hour and CPU; decides only between shapes of equal utility. */
+  upkeep: number;
 }
 
 export interface TeamBooks {
