--- a/packages/testkit/sim-cloud.ts
+++ b/packages/testkit/sim-cloud.ts
@@ -20,7 +20,6 @@
   private readonly answers = new Map<string, string[]>();
   private snapshots: Snapshot[] = [];
   private count = 0;
-  deletedBusy = 0;
 
   constructor(
     private readonly clock: SimClock,
--- a/packages/workers/roster.ts
+++ b/packages/workers/roster.ts
@@ -102,14 +102,6 @@
     }
   }
 
-  owns(host: string): boolean {
-    return this.terms.has(host);
-  }
-
-  ownedHosts(): Iterable<string> {
-    return this.terms.keys();
-  }
-
   /** Takes a report in; false if a newer one from this worker is known already, or it isn't ours. */
   receive(report: Report, now: Micros): boolean {
     const term = this.terms.get(report.Host);
