One look-up of a reported piece, one estimate of run time, starts grouped in one pass

No change of behaviour. placementOf() stands for three copies of the same look-up, expected() for two of the same estimate; the list of machines no longer carries a time that nothing read.

--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -22,19 +22,8 @@
   type WaitingJob,
 } from '#pricing';
 import type { Settings, Tuning } from '#settings';
-import {
-  type Clock,
-  fromSeconds,
-  type Micros,
-  MS,
-  parsePiece,
-  type Rank,
-  RANKS,
-  sameCount,
-  SECOND,
-  type Submission,
-} from '#wire';
-import { attemptKey, type Ending, type Roster, type Session } from '#workers';
+import { type Clock, fromSeconds, type Micros, MS, type Rank, RANKS, SECOND, type Submission } from '#wire';
+import { attemptKey, type Ending, placementOf, type Roster, type Session } from '#workers';
 
 export interface RoundPlan {
   /** By share of the machine. */
@@ -101,12 +90,7 @@
     const session = this.roster.sessions.get(host);
     if (!session) return false;
     const { ledger } = this.replica;
-    return session.report.Pieces.some((p) => {
-      if (p.Status !== 'exited') return false;
-      const at = parsePiece(p.Piece);
-      const placement = at ? ledger.placement(at.job, at.index) : undefined;
-      return placement?.host === host && sameCount(placement.try, p.Try);
-    });
+    return session.report.Pieces.some((p) => p.Status === 'exited' && placementOf(ledger, host, p) !== null);
   }
 
   learn({ placement, outcome }: Ending): void {
@@ -126,7 +110,6 @@
 
   /** An owner's round over all its shares: its teams' tasks on its machines. */
   plan(endings: readonly Ending[], shares: ReadonlySet<number>): RoundPlan {
-    const { ledger } = this.replica;
     const ending = new Set(endings.map((e) => e.placement));
     const machines = this.machines(ending);
     const result = this.play(shares, machines, ending);
@@ -138,12 +121,7 @@
     if (result.starts.length > 0 || result.needs.length > 0) {
       this.log.debug({ starts: result.starts.length, unmet, prices, machines: machines.length }, 'round');
     }
-    const starts = new Map<number, StartGroup[]>();
-    for (const share of shares) {
-      const here = result.starts.filter((s) => ledger.hosts.get(s.host)?.share === share);
-      if (here.length > 0) starts.set(share, []);
-    }
-    this.group(result.starts, starts);
+    const starts = this.group(result.starts);
     return { starts, prices, unmet, stops: this.stops(result.needs, machines, result.left) };
   }
 
@@ -160,13 +138,18 @@
     });
   }
 
+  /** Run time of a task: its owner's estimate, put right by what was seen of its class. */
+  private expected(spec: Submission): Micros {
+    return fromSeconds(spec.ExpectS) * (this.ratios.get(spec.Lane) ?? 1);
+  }
+
   /** Expected time a running task still takes; 0 if it should be over. */
   remaining(placement: Placement): Micros {
     const job = this.replica.jobs.get(placement.job);
     if (!job) return 0;
     const session = this.roster.sessions.get(placement.host);
     const began = session?.runningSince.get(attemptKey(placement.piece, placement.try));
-    const whole = fromSeconds(job.spec.ExpectS) * (this.ratios.get(job.spec.Lane) ?? 1);
+    const whole = this.expected(job.spec);
     // On another owner's machine only the time of the start is known.
     if (began === undefined) return Math.max(0, placement.at * MS + whole - this.clock.wall());
     return Math.max(0, began + whole - this.clock.now());
@@ -179,7 +162,7 @@
   worthRenting({ job, count }: NeedRow): NeedRow {
     const spec = this.replica.jobs.get(job.id)?.spec;
     if (!spec) return { job, count };
-    const run = fromSeconds(spec.ExpectS) * (this.ratios.get(spec.Lane) ?? 1);
+    const run = this.expected(spec);
     const patience = Math.max(run, this.patience(spec, run));
     return { job, count: Math.ceil((count * run) / Math.max(patience, 1)) };
   }
@@ -314,12 +297,8 @@
   }
 
   private hasStranger(host: string, session: Session): boolean {
-    return session.report.Pieces.some((p) => {
-      if (p.Status === 'exited') return false;
-      const at = parsePiece(p.Piece);
-      const known = at ? this.replica.ledger.placement(at.job, at.index) : undefined;
-      return known?.host !== host || !sameCount(known.try, p.Try);
-    });
+    const { ledger } = this.replica;
+    return session.report.Pieces.some((p) => p.Status !== 'exited' && placementOf(ledger, host, p) === null);
   }
 
   private waiting(crews: ReadonlySet<string>, ending: ReadonlySet<Placement>): WaitingJob[] {
@@ -364,17 +343,20 @@
   }
 
   /** Gives each start its task and sorts them by the share of their machine. */
-  private group(starts: readonly { job: string; host: string }[], byShare: Map<number, StartGroup[]>): void {
+  private group(starts: readonly { job: string; host: string }[]): Map<number, StartGroup[]> {
+    const byShare = new Map<number, StartGroup[]>();
     const open = new Map<string, Iterator<number>>();
     for (const { job, host } of starts) {
       const spec = this.replica.jobs.get(job)?.spec;
       const session = this.roster.sessions.get(host);
-      const groups = byShare.get(this.replica.ledger.hosts.get(host)?.share ?? -1);
-      if (!spec || !session || !groups) continue;
+      const share = this.replica.ledger.hosts.get(host)?.share ?? null;
+      if (!spec || !session || share === null) continue;
       let indices = open.get(job);
       if (!indices) open.set(job, (indices = this.openIndices(job, spec.Pieces)));
       const index = indices.next();
       if (index.done === true) continue;
+      let groups = byShare.get(share);
+      if (!groups) byShare.set(share, (groups = []));
       let group = groups.find((g) => g.Job === job);
       if (!group) {
         const { Crew, Bundle, Cpus, Gpus, MemGb } = spec;
@@ -382,6 +364,7 @@
       }
       group.On.push([index.value, host, session.report.Shift]);
     }
+    return byShare;
   }
 
   private *openIndices(job: string, pieces: number): Generator<number> {
--- a/packages/fleet/keeper.ts
+++ b/packages/fleet/keeper.ts
@@ -51,7 +51,7 @@
   private readonly refusals = new Map<string, { until: Micros; pause: Micros }>();
   private readonly gone = new Map<string, Micros>();
   private readonly idleSince = new Map<string, Micros>();
-  private listed: { rows: Map<string, HostRow>; at: Micros } | null = null;
+  private listed: Map<string, HostRow> | null = null;
   /** Listed machines that stopped and are in nobody's books. */
   private readonly wrecks = new Set<string>();
   private lastList: Micros = -Infinity;
@@ -220,7 +220,7 @@
     const rows = await this.cloud.machines();
     this.listing = false;
     if (!rows) return;
-    this.listed = { rows: new Map(rows.map((r) => [r.Uid, r])), at: now };
+    this.listed = new Map(rows.map((r) => [r.Uid, r]));
     const { ledger, shareFor } = this.facts();
     for (const r of rows) {
       const offer = { build: r.Build, hall: r.Hall, loaners: r.Loaners };
@@ -255,7 +255,7 @@
     const { listLag, lease, isCut } = this.facts();
     if (host.share === null && host.to === 'return') return 'returned';
     if (host.status === 'lost') return 'lost';
-    const row = this.listed?.rows.get(host.host);
+    const row = this.listed?.get(host.host);
     if (row?.Status === 'failed') return 'failed';
     if (host.status === 'up') return null;
     // The list lags by up to twice its nominal time; a machine that it should show by now is gone.
--- a/packages/workers/roster.ts
+++ b/packages/workers/roster.ts
@@ -205,7 +205,7 @@
     const orders: Order[] = [];
     const seen = new Set<string>();
     for (const p of session.report.Pieces) {
-      const placement = matching(ledger, host, p);
+      const placement = placementOf(ledger, host, p);
       if (placement) seen.add(p.Piece);
       const { Piece, Try } = p;
       if (p.Status === 'exited') {
@@ -289,7 +289,8 @@
   return a.Tally > b.Tally;
 }
 
-function matching(ledger: Ledger, host: string, p: PieceReport): Placement | null {
+/** The placement that a piece in a worker's report is, if the log knows that attempt on that machine. */
+export function placementOf(ledger: Ledger, host: string, p: PieceReport): Placement | null {
   const at = parsePiece(p.Piece);
   const placement = at ? ledger.placement(at.job, at.index) : undefined;
   return placement && placement.host === host && sameCount(placement.try, p.Try) ? placement : null;
