Chunks of a checkpoint on its way stay: a head could land without them, and no node came back

The old code had a narrower hole of the same kind: a head whose answer was lost could land after its chunks were removed.

Now only chunks of checkpoints before the present one are litter, names are never used twice, and a head is guarded by the one it follows. The simulated state service checks after every change that the present checkpoint can be read whole; every other random run has small values, so that checkpoints take many commits.

--- a/packages/cluster/keys.ts
+++ b/packages/cluster/keys.ts
@@ -57,7 +57,18 @@
   return log === 'lead' ? 'lead' : Number(log);
 }
 
-/** Chunks are named after the sum of the log positions that the checkpoint covers, and its writer's number. */
+/**
+ * A checkpoint's name: the sum of the log positions it covers, its writer's lead and attempt. Never used twice,
+ * and in the order in which checkpoints are begun.
+ */
+export function checkpointId(size: number, leadStamp: number, attempt: number): string {
+  return [size, leadStamp, attempt].map((n) => String(n).padStart(12, '0')).join('-');
+}
+
+export function checkpointOfKey(path: string): string {
+  return path.slice(CHUNKS.length).split('/')[0] ?? '';
+}
+
 export function chunkKey(id: string, part: number): string {
   return `${CHUNKS}${id}/${String(part).padStart(4, '0')}`;
 }
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -4,6 +4,7 @@
   BATON,
   CHECKPOINT_HEAD,
   CHUNKS,
+  checkpointOfKey,
   chunkKey,
   JOBS,
   LEAD,
@@ -74,7 +75,7 @@
 const FOLLOW_PART = 0.3;
 const BARRIER_PART = 0.25;
 const RECENT_FINALS = 2000;
-const NO_CHECKPOINT = { id: '', positions: {}, chunks: 0 };
+const NO_CHECKPOINT = { id: '', positions: {}, chunks: 0, stamp: 0 };
 
 /**
  * A node's copy of all live state, kept by one watch. It changes only by what the state service says, in the
@@ -89,7 +90,7 @@
   readonly members = new Map<string, Member>();
   readonly owners = new Map<number, ShareOwner>();
   baton = { value: 0, stamp: 0 };
-  private checkpoint: { id: string; positions: Positions; chunks: number } = NO_CHECKPOINT;
+  private checkpoint: { id: string; positions: Positions; chunks: number; stamp: number } = NO_CHECKPOINT;
   applied = 0;
   /** Steady time at which the state was known to be complete, or -Infinity. */
   freshAt = -Infinity;
@@ -137,10 +138,12 @@
     }
   }
 
-  /** Checkpoint chunks that a newer checkpoint has made superfluous. */
+  /**
+   * Chunks of checkpoints before the present one. Those after it stay: the commit that makes them the present
+   * one may still be on its way, or may have landed unseen.
+   */
   litter(): string[] {
-    const keep = chunkKey(this.checkpoint.id, 0).slice(0, -4);
-    return [...this.chunkRows].filter((key) => !key.startsWith(keep));
+    return [...this.chunkRows].filter((key) => checkpointOfKey(key) < this.checkpoint.id);
   }
 
   /**
@@ -153,6 +156,10 @@
     return row.seq <= (this.checkpoint.positions[String(log)] ?? 0) ? row.stamp : null;
   }
 
+  get checkpointStamp(): number {
+    return this.checkpoint.stamp;
+  }
+
   get checkpointChunks(): number {
     return this.checkpoint.chunks;
   }
@@ -331,7 +338,7 @@
     } else if (path === CHECKPOINT_HEAD) {
       if (!value) return;
       const positions = value['Positions'] as Positions;
-      this.checkpoint = { id: String(value['Id']), positions, chunks: Number(value['Chunks']) };
+      this.checkpoint = { id: String(value['Id']), positions, chunks: Number(value['Chunks']), stamp };
     } else if (path.startsWith(CHUNKS)) {
       if (value) this.chunkRows.add(path);
       else this.chunkRows.delete(path);
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -1,5 +1,6 @@
 import {
   CHECKPOINT_HEAD,
+  checkpointId,
   chunkKey,
   JOBS,
   jobKey,
@@ -35,6 +36,7 @@
  */
 export class LogWriter {
   private tidying = false;
+  private attempts = 0;
 
   constructor(
     private readonly store: StoreClient,
@@ -132,22 +134,31 @@
     const positions = ledger.allPositions();
     const lead = this.membership.lead();
     if (!lead) return;
-    const id = `${String(ledger.size).padStart(12, '0')}-${lead.stamp}`;
+    const id = checkpointId(ledger.size, lead.stamp, ++this.attempts);
+    const before = this.replica.checkpointStamp;
     const rows = checkpointRows(ledger, (job) => jobs.has(job));
     const chunks = packRows(rows, this.limits.valueBytes - FRAME_BYTES);
     const writes: Write[] = chunks.map((part, i) => ({ set: chunkKey(id, i), value: { Rows: part } }));
-    writes.push({ set: CHECKPOINT_HEAD, value: { Id: id, Positions: positions, Chunks: chunks.length } });
     const perTxn = this.valuesPerCommit();
     for (let i = 0; i < writes.length; i += perTxn) {
       const guards: Guard[] = [{ path: LEAD, stamp: lead.stamp }];
       if (!(await this.insist(guards, writes.slice(i, i + perTxn)))) return;
     }
+    // Once a newer checkpoint is the present one, its predecessors' chunks go: a late commit of this one must
+    // not bring it back then.
+    const guards: Guard[] = [
+      { path: LEAD, stamp: lead.stamp },
+      { path: CHECKPOINT_HEAD, stamp: before },
+    ];
+    const head = { Id: id, Positions: positions, Chunks: chunks.length };
+    if (!(await this.insist(guards, [{ set: CHECKPOINT_HEAD, value: head }]))) return;
     this.log.debug({ id, chunks: chunks.length }, 'checkpoint');
   }
 
   /**
    * Writes a part of a checkpoint, again if it was not taken: parts that landed would be of no use without the
-   * others, and logs can't go on for ever without a checkpoint. Its keys are its own, so repeating does no harm.
+   * others, and logs can't go on for ever without a checkpoint. Repeating does no harm: the keys of the chunks
+   * are its own, and the commit of its head is guarded.
    */
   private async insist(guards: Guard[], writes: Write[]): Promise<boolean> {
     for (let i = 0; i < CHECKPOINT_TRIES; i++) {
--- a/packages/testkit/chaos.test.ts
+++ b/packages/testkit/chaos.test.ts
@@ -199,7 +199,9 @@
     process.stderr.write(`${(world.clock.time / SECOND).toFixed(3)} ${text} ${JSON.stringify(fields)}\n`);
   };
   const log = process.env['CHAOS_LOG'] === undefined ? undefined : { debug: say, info: say, error: say };
-  const world = new SimWorld({ seed, ...(log ? { log } : {}) });
+  // Every other deployment has small values, so that checkpoints take many commits.
+  const settings = seed % 2 === 0 ? {} : { valueBytes: 700, txnOps: 3 };
+  const world = new SimWorld({ seed, settings, ...(log ? { log } : {}) });
   const { random, clock } = world;
   let jobs = 0;
   const arrive = (): void => {
--- a/packages/testkit/sim-store.ts
+++ b/packages/testkit/sim-store.ts
@@ -31,6 +31,8 @@
   readonly shunned = new Set<string>();
   /** Called with every transaction that is applied, before it is. */
   beforeApply: (guards: Fields[], writes: Fields[]) => void = () => undefined;
+  /** Called with every transaction that was applied. */
+  afterApply: (writes: Fields[]) => void = () => undefined;
   private readonly grants = new Map<number, { life: Micros; until: Micros }>();
   private nextGrant = 1;
   private history: { path: string; value: Fields | null; stamp: number }[] = [];
@@ -138,6 +140,7 @@
           );
         } else this.drop(String(w['Remove']));
       }
+      this.afterApply(writes);
       this.wakeWatches();
     }
     return { status: 200, body: { Epoch: this.epoch } };
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -1,5 +1,14 @@
 import { Controller } from '#daemon';
-import { type Logger, logOfKey, LOGS, ownershipKey, type Ping } from '#cluster';
+import {
+  CHECKPOINT_HEAD,
+  chunkKey,
+  CHUNKS,
+  type Logger,
+  logOfKey,
+  LOGS,
+  ownershipKey,
+  type Ping,
+} from '#cluster';
 import { type Settings, standardTuning } from '#settings';
 import {
   type Fields,
@@ -121,6 +130,9 @@
     this.store.beforeApply = (guards, writes) => {
       this.checkOwnership(guards, writes);
     };
+    this.store.afterApply = (writes) => {
+      this.checkCheckpoint(writes);
+    };
     const limits = new Map(settings.teams.map((t) => [t.name, { cpus: t.cpusMax, gpus: t.gpusMax }]));
     this.rules = new RuleChecker(limits, settings.cancel);
     this.cloud = new SimCloud(
@@ -305,6 +317,17 @@
     }
   }
 
+  /** The present checkpoint can be read whole at every moment. */
+  private checkCheckpoint(writes: Fields[]): void {
+    const paths = writes.map((w) => String(w['Set'] ?? w['Remove']));
+    if (!paths.some((path) => path === CHECKPOINT_HEAD || path.startsWith(CHUNKS))) return;
+    const head = this.store.rows.get(CHECKPOINT_HEAD)?.value;
+    for (let i = 0; i < Number(head?.['Chunks'] ?? 0); i++) {
+      const key = chunkKey(String(head?.['Id']), i);
+      if (!this.store.rows.has(key)) throw new BrokenRule('checkpoint', `${key} is missing`);
+    }
+  }
+
   private guarded<T>(act: () => T): T {
     try {
       return act();
