--- a/packages/api/index.ts
+++ b/packages/api/index.ts
@@ -1,6 +1,4 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http';
-import { Writable } from 'node:stream';
-import { pipeline } from 'node:stream/promises';
 import Koa from 'koa';
 import { decode, encode, isFields, MAX_BODY_BYTES } from '#wire';
 
@@ -23,32 +21,36 @@
 /** Thrown for a body that can't be taken; the client gets 400. */
 class BadBody extends Error {}
 
-/** Collects a body, and refuses it as soon as it grows over the limit. */
-class Collector extends Writable {
-  private readonly chunks: Buffer[] = [];
-  private size = 0;
-
-  override _write(chunk: Buffer, _encoding: string, done: (error?: Error) => void): void {
-    this.size += chunk.length;
-    if (this.size > MAX_BODY_BYTES) {
-      done(new BadBody('body too large'));
-      return;
-    }
-    this.chunks.push(chunk);
-    done();
-  }
-
-  get bytes(): Buffer {
-    return Buffer.concat(this.chunks);
-  }
+/**
+ * Collects a body, and refuses it as soon as it grows over the limit. Listens to the stream itself: a pipeline
+ * with its abort signal made up a third of the cost of a worker's report.
+ */
+function collect(req: IncomingMessage): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MAX_BODY_BYTES) {
+        req.pause();
+        reject(new BadBody('body too large'));
+      } else chunks.push(chunk);
+    });
+    req.once('end', () => {
+      resolve(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
+    });
+    req.once('error', reject);
+    req.once('close', () => {
+      if (!req.complete) reject(new BadBody('body cut off'));
+    });
+  });
 }
 
 async function readBody(req: IncomingMessage): Promise<unknown> {
-  const collector = new Collector();
-  await pipeline(req, collector, { end: true });
+  const bytes = await collect(req);
   let value: unknown;
   try {
-    value = decode(collector.bytes);
+    value = decode(bytes);
   } catch {
     throw new BadBody('not MessagePack');
   }
