Keep halves for tasks that need a whole machine

A task that finds no room now keeps the machine with part of it that is free soonest from tasks that rank lower, for at most 30 s of foreseen idling.

--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -316,7 +316,17 @@
     for (const p of ledger.placementsOn(host)) if (!ending.has(p)) take(room, p, 1);
     const { build, hall, loaners } = book;
     const upkeep = (loaners ? type.LowPrice : type.Price) / Math.max(type.Cpus, 1);
-    return { host, build, hall, loaners, total: amountsOf(type), room, warm: new Set(book.images), upkeep };
+    const busyFor = (): Micros => this.busyFor(host);
+    return {
+      ...{ host, build, hall, loaners, total: amountsOf(type), room, busyFor, upkeep },
+      warm: new Set(book.images),
+    };
+  }
+
+  private busyFor(host: string): Micros {
+    let longest = 0;
+    for (const p of this.replica.ledger.placementsOn(host)) longest = Math.max(longest, this.remaining(p));
+    return longest;
   }
 
   /** It failed tasks: each failure in a row doubles the time for which it gets none. */
--- a/packages/pricing/round.test.ts
+++ b/packages/pricing/round.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { SECOND } from '#wire';
 import { fits, playRound, shapeOf, take } from './round.js';
 import type { RoomyMachine, RoundInput, RoundOptions, WaitingJob } from './types.js';
 
@@ -50,6 +51,7 @@
       total,
       room: { ...total },
       warm: new Set<string>(),
+      busyFor: () => Infinity,
       upkeep: 1,
     },
     ...change,
@@ -176,3 +178,28 @@
     assert.equal(playRound(input([job('j-1')], order)).starts[0]?.host, 'n-2');
   }
 });
+
+test('a task that needs a whole machine gets the half that is free soonest kept, and no smaller task takes it', () => {
+  const half = { cpus: 2, gpus: 0, memGb: 8 };
+  const machines = [
+    machine('n-1', { room: { ...half }, busyFor: () => 20 * SECOND }),
+    machine('n-2', { room: { ...half }, busyFor: () => 5 * SECOND }),
+    machine('n-3', { room: { ...half }, busyFor: () => 300 * SECOND }),
+  ];
+  const whole = job('j-1', { priority: 4, need: { cpus: 4, gpus: 0, memGb: 14 } });
+  const small = job('j-2', { waiting: 3 });
+  const hosts = (jobs: WaitingJob[]): string[] =>
+    playRound(input(jobs, machines))
+      .starts.map((s) => `${s.job} ${s.host}`)
+      .sort();
+  assert.deepEqual(hosts([whole, small]), ['j-2 n-1', 'j-2 n-3']);
+  // None is kept longer than is worth it, nor for what ranks lower.
+  assert.deepEqual(
+    hosts([
+      { ...whole, waiting: 2 },
+      { ...small, waiting: 1 },
+    ]),
+    ['j-2 n-3'],
+  );
+  assert.deepEqual(hosts([{ ...whole, priority: 1 }, small]), ['j-2 n-1', 'j-2 n-2', 'j-2 n-3']);
+});
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -1,3 +1,4 @@
+import { type Micros, SECOND } from '#wire';
 import type {
   Amounts,
   Price,
@@ -11,6 +12,9 @@
 /** Tolerance for sums of decimal amounts. */
 const EPS = 1e-6;
 
+/** Part of a machine stands idle for a larger task no longer than this. */
+const KEPT_FOR: Micros = 30 * SECOND;
+
 /** A shape: machines of one type and kind, priced together. Spot ones are a shape apart. */
 export function shapeOf(build: string, loaners: boolean): string {
   return loaners ? `${build}+` : build;
@@ -196,12 +200,35 @@
         }
       }
     }
-    if (left > 0) unmet.set(job.id, (unmet.get(job.id) ?? 0) + left);
+    if (left === 0) continue;
+    unmet.set(job.id, (unmet.get(job.id) ?? 0) + left);
+    for (const { pool } of open) left -= reserve(pool.machines, job, rule, left);
   }
   const left = new Map(pools.flatMap((p) => p.machines.map((m) => [m.host, m.room])));
   return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet, left };
 }
 
+/**
+ * Keeps room for tasks that need more than comes free at a time: machines that could hold one, and already have
+ * part of the room, take nothing of lower rank until the rest is free, too. Otherwise small tasks would fill
+ * each half as it comes, and a task that needs a whole machine would wait for ever on a full fleet. Those that
+ * are free soonest come first.
+ */
+function reserve(machines: readonly RoomyMachine[], job: WaitingJob, rule: ZoneRule, count: number): number {
+  if (count <= 0) return 0;
+  const partly = machines.filter(
+    (m) => m.room.cpus > EPS && !fits(job.need, m.room) && fits(job.need, m.total) && rule.open(m.hall),
+  );
+  if (partly.length === 0) return 0;
+  const soonest = partly
+    .map((machine) => ({ machine, busyFor: machine.busyFor() }))
+    .filter(({ busyFor }) => busyFor <= KEPT_FOR)
+    .sort((a, b) => a.busyFor - b.busyFor)
+    .slice(0, count);
+  for (const { machine } of soonest) machine.room = nothing();
+  return soonest.length;
+}
+
 /**
  * Of some random roomy machines the one with least room left: whole machines stay free for large tasks, and
  * idle ones can be returned.
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -1,3 +1,5 @@
+import type { Micros } from '#wire';
+
 export interface Amounts {
   cpus: number;
   gpus: number;
@@ -40,6 +42,8 @@
   /** Room as last reported, less starts sent since. */
   room: Amounts;
   warm: ReadonlySet<string>;
+  /** Time until all that is on it should have ended. */
+  busyFor: () => Micros;
   /** What the machine costs per hour and CPU; decides only between shapes of equal utility. */
   upkeep: number;
 }
