What a team is guaranteed comes back ten machines a round

Now machines move, soonest free first, for what an owner's teams lack of their guarantees while others run beyond theirs.

--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -37,6 +37,7 @@
 /** A moved machine stays where it is for so long. */
 const SETTLE: Micros = 6 * SECOND;
 const PRICE_GAP = 0.5;
+const MOST_OWED = 10;
 /** Foreseeing every owner's round costs as much as all of them: what it took is left to the rest so many times. */
 const FORESIGHT_REST = 6;
 const DRAIN: DrainOptions = { poor: 0.6, patience: 6 * SECOND, spare: 2 };
@@ -215,19 +216,28 @@
     const now = clock.now();
     const cuts = this.cuts();
     const machines: MovableMachine[] = [];
-    for (const { member, left } of outlooks) {
+    for (const { member, left, kept } of outlooks) {
       for (const [host, room] of left) {
         const book = replica.ledger.hosts.get(host);
         const type = book && replica.types.get(book.build);
         if (!type) continue;
-        const settling = now - (this.movedAt.get(host) ?? -Infinity) < SETTLE;
+        // One that is kept for a task is as good as taken.
+        const settling = kept.has(host) || now - (this.movedAt.get(host) ?? -Infinity) < SETTLE;
         const { build, hall, loaners } = book;
-        machines.push({ host, build, hall, loaners, owner: member, room, total: amountsOf(type), settling });
+        const busyFor = (): Micros => scheduler.busyFor(host);
+        const total = amountsOf(type);
+        machines.push({ host, build, hall, loaners, owner: member, room, total, settling, busyFor });
       }
     }
-    const owners = outlooks.map((o) => ({ owner: o.member, needs: o.needs, price: o.price }));
+    const owners = outlooks.map((o) => ({ ...o, owner: o.member }));
     const reaches = (owner: string, hall: string): boolean => this.reaches(owner, hall, cuts);
-    const { moves, left } = planMoves({ owners, machines, reaches, priceGap: PRICE_GAP });
+    const { moves, left } = planMoves({
+      owners,
+      machines,
+      reaches,
+      priceGap: PRICE_GAP,
+      mostOwed: MOST_OWED,
+    });
     for (const { host, to } of moves) {
       const share = outlooks.find((o) => o.member === to)?.shares[0];
       if (share === undefined) continue;
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -42,9 +42,15 @@
   needs: NeedRow[];
   /** Room that the round will leave on each of its machines. */
   left: Map<string, Amounts>;
+  /** Machines that it keeps for tasks which need more room than they have yet. */
+  kept: ReadonlySet<string>;
   /** Room that its running tasks are about to leave. */
   soon: Coming[];
   price: number;
+  /** CPUs that its teams lack of their guarantees, less those that are about to come free or on their way. */
+  owed: number;
+  /** CPUs that its teams use beyond their guarantees. */
+  borrowed: number;
 }
 
 const RANK_PRIORITY: Record<Rank, number> = { best_effort: 1, normal: 2, urgent: 4, prod: 8 };
@@ -113,6 +119,8 @@
       const ratio = (now - began) / fromSeconds(job.spec.ExpectS);
       const old = this.ratios.get(job.spec.Lane) ?? 1;
       this.ratios.set(job.spec.Lane, old + 0.1 * (Math.min(5, ratio) - old));
+      const beganMs = Math.round((this.clock.wall() - now + began) / MS - placement.at);
+      this.log.debug({ piece: placement.piece, beganMs, ranMs: Math.round((now - began) / MS) }, 'task done');
     }
   }
 
@@ -140,12 +148,36 @@
       const shares = [...owners].filter(([, o]) => o.member === member).map(([share]) => share);
       const mine = new Set(shares);
       const machines = this.booked(mine);
-      const { needs, left, prices } = this.play(mine, machines, new Set());
+      const { needs, left, prices, kept } = this.play(mine, machines, new Set());
       const price = Math.max(0, ...[...prices.values()].map((p) => p.cpu));
-      return { member, shares, needs, left, soon: this.soon(mine), price };
+      const soon = this.soon(mine);
+      return { member, shares, needs, left, kept, soon, price, ...this.balance(mine, needs, soon) };
     });
   }
 
+  /** How an owner's teams stand to their guarantees. */
+  private balance(shares: ReadonlySet<number>, needs: readonly NeedRow[], soon: readonly Coming[]) {
+    const { ledger, types } = this.replica;
+    const waiting = new Map<string, number>();
+    for (const { job, count } of needs) {
+      waiting.set(job.crew, (waiting.get(job.crew) ?? 0) + count * job.need.cpus);
+    }
+    let owed = 0;
+    let borrowed = 0;
+    for (const { name, cpus } of this.settings.teams) {
+      if (!shares.has(this.shareOf(name))) continue;
+      const used = ledger.used(name).cpus;
+      owed += Math.min(waiting.get(name) ?? 0, Math.max(0, cpus - used));
+      borrowed += Math.max(0, used - cpus);
+    }
+    if (owed === 0) return { owed, borrowed };
+    for (const { room } of soon) owed -= room.cpus;
+    for (const { to, share, build } of ledger.hosts.values()) {
+      if (typeof to === 'number' && to !== share && shares.has(to)) owed -= types.get(build)?.Cpus ?? 0;
+    }
+    return { owed: Math.max(0, owed), borrowed };
+  }
+
   /** Run time of a task: its owner's estimate, put right by what was seen of its class. */
   private expected(spec: Submission): Micros {
     return fromSeconds(spec.ExpectS) * (this.ratios.get(spec.Lane) ?? 1);
@@ -323,7 +355,8 @@
     };
   }
 
-  private busyFor(host: string): Micros {
+  /** Time until all that is on the machine should have ended. */
+  busyFor(host: string): Micros {
     let longest = 0;
     for (const p of this.replica.ledger.placementsOn(host)) longest = Math.max(longest, this.remaining(p));
     return longest;
--- a/packages/fleet/moves.ts
+++ b/packages/fleet/moves.ts
@@ -1,4 +1,5 @@
 import { type Amounts, fits, slots, take } from '#pricing';
+import type { Micros } from '#wire';
 import { type NeedRow, type Offer, suits } from './planner.js';
 
 /** A machine as the leader sees it: whose it is and what room its owner's next round will leave on it. */
@@ -9,6 +10,8 @@
   total: Amounts;
   /** It was moved a moment ago: moving it on at once would only keep it from working. */
   settling: boolean;
+  /** Time until all that is on it should have ended. */
+  busyFor: () => Micros;
 }
 
 export interface OwnerNeeds {
@@ -16,6 +19,10 @@
   needs: readonly NeedRow[];
   /** Price of CPU in its last round. */
   price: number;
+  /** CPUs that its teams lack of their guarantees, less those that are about to come free or on their way. */
+  owed: number;
+  /** CPUs that its teams use beyond their guarantees. */
+  borrowed: number;
 }
 
 export interface MoveInput {
@@ -25,6 +32,8 @@
   reaches: (owner: string, hall: string) => boolean;
   /** How much dearer the needy must be than the owner that gives a machine without unused room. */
   priceGap: number;
+  /** Machines at the most that leave one owner in a round for what another is owed. */
+  mostOwed: number;
 }
 
 export interface Move {
@@ -51,6 +60,8 @@
   const moved = new Set<string>();
   const open = (m: MovableMachine, owner: string): boolean =>
     m.owner !== owner && !m.settling && !moved.has(m.host) && input.reaches(owner, m.hall);
+  const serves = (m: MovableMachine, owner: string, { job }: NeedRow): boolean =>
+    open(m, owner) && suits(job, m) && fits(job.need, m.total);
   for (const { owner, needs } of input.owners) {
     const rest: NeedRow[] = [];
     // Room on a machine that comes for one need serves the next ones, too.
@@ -86,18 +97,30 @@
     const giver = [...dearest].reverse().find((o) => o.owner !== rich.owner);
     if (!need || !giver || rich.price - giver.price < input.priceGap) continue;
     const machine = input.machines
-      .filter(
-        (m) =>
-          m.owner === giver.owner &&
-          open(m, rich.owner) &&
-          suits(need.job, m) &&
-          fits(need.job.need, m.total),
-      )
+      .filter((m) => m.owner === giver.owner && serves(m, rich.owner, need))
       .sort((a, b) => unused(b, rooms) - unused(a, rooms))[0];
     if (!machine) continue;
     moved.add(machine.host);
     moves.push({ host: machine.host, to: rich.owner });
   }
+  // What a team is guaranteed can't wait for one machine a round while others run beyond their own guarantees.
+  for (const { owner, owed } of dearest) {
+    const need = left.get(owner)?.[0];
+    const giver = [...input.owners].sort((a, b) => b.borrowed - a.borrowed)[0];
+    if (!need || !giver || giver.owner === owner) continue;
+    let cpus = Math.min(owed, giver.borrowed);
+    if (cpus <= 0) continue;
+    const soonest = input.machines
+      .filter((m) => m.owner === giver.owner && serves(m, owner, need))
+      .map((machine) => ({ machine, busyFor: machine.busyFor() }))
+      .sort((a, b) => a.busyFor - b.busyFor);
+    for (const { machine } of soonest.slice(0, input.mostOwed)) {
+      if (cpus <= 0) break;
+      cpus -= machine.total.cpus;
+      moved.add(machine.host);
+      moves.push({ host: machine.host, to: owner });
+    }
+  }
   return { moves, left };
 }
 
--- a/packages/fleet/plans.test.ts
+++ b/packages/fleet/plans.test.ts
@@ -106,18 +106,30 @@
       total,
       room: { ...total },
       settling: false,
+      busyFor: () => 0,
     },
     ...change,
   });
   const owners = [
-    { owner: 'a', price: 2, needs: [{ job: job(), count: 1 }] },
-    { owner: 'b', price: 0, needs: [] },
+    { owner: 'a', price: 2, needs: [{ job: job(), count: 1 }], owed: 0, borrowed: 0 },
+    { owner: 'b', price: 0, needs: [], owed: 0, borrowed: 0 },
   ];
   const full = { cpus: 0, gpus: 0, memGb: 8 };
   const moves = (machines: MovableMachine[], cut = false): string[] =>
-    planMoves({ owners, machines, reaches: () => !cut, priceGap: 0.5 }).moves.map((m) => m.host);
+    planMoves({ owners, machines, reaches: () => !cut, priceGap: 0.5, mostOwed: 2 }).moves.map((m) => m.host);
   assert.deepEqual(moves([machine('n-1', { room: full }), machine('n-2')]), ['n-2']);
   assert.deepEqual(moves([machine('n-1', { room: full }), machine('n-2', { settling: true })]), ['n-1']);
   assert.deepEqual(moves([machine('n-1')], true), []);
   assert.deepEqual(moves([machine('n-1', { owner: 'a', room: full })]), []);
+  // What is guaranteed to one and borrowed by the other goes back at once, soonest free first, not one a round.
+  const owed = [
+    { owner: 'a', price: 0, needs: [{ job: job(), count: 9 }], owed: 11, borrowed: 0 },
+    { owner: 'b', price: 0, needs: [], owed: 0, borrowed: 100 },
+  ];
+  const busy = [30, 10, 20].map((s) => machine(`n-${s}`, { room: full, busyFor: () => s * SECOND }));
+  const input = { machines: busy, reaches: () => true, priceGap: 0.5, mostOwed: 2 };
+  const hosts = (plan: typeof owed): string[] =>
+    planMoves({ ...input, owners: plan }).moves.map((m) => m.host);
+  assert.deepEqual(hosts(owed), ['n-10', 'n-20']);
+  assert.deepEqual(hosts(owed.map((o) => ({ ...o, borrowed: 0 }))), []);
 });
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -164,6 +164,7 @@
   const { options, random } = input;
   const starts: RoundResult['starts'] = [];
   const unmet = new Map<string, number>();
+  const kept = new Set<string>();
   const zones = new Map<string, ZoneRule>();
   const ranked = segments.map((segment) => {
     const open = pools
@@ -202,10 +203,14 @@
     }
     if (left === 0) continue;
     unmet.set(job.id, (unmet.get(job.id) ?? 0) + left);
-    for (const { pool } of open) left -= reserve(pool.machines, job, rule, left);
+    for (const { pool } of open) {
+      const hosts = reserve(pool.machines, job, rule, left);
+      left -= hosts.length;
+      for (const host of hosts) kept.add(host);
+    }
   }
   const left = new Map(pools.flatMap((p) => p.machines.map((m) => [m.host, m.room])));
-  return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet, left };
+  return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet, left, kept };
 }
 
 /**
@@ -214,19 +219,23 @@
  * each half as it comes, and a task that needs a whole machine would wait for ever on a full fleet. Those that
  * are free soonest come first.
  */
-function reserve(machines: readonly RoomyMachine[], job: WaitingJob, rule: ZoneRule, count: number): number {
-  if (count <= 0) return 0;
+function reserve(
+  machines: readonly RoomyMachine[],
+  job: WaitingJob,
+  rule: ZoneRule,
+  count: number,
+): string[] {
+  if (count <= 0) return [];
   const partly = machines.filter(
     (m) => m.room.cpus > EPS && !fits(job.need, m.room) && fits(job.need, m.total) && rule.open(m.hall),
   );
-  if (partly.length === 0) return 0;
   const soonest = partly
     .map((machine) => ({ machine, busyFor: machine.busyFor() }))
     .filter(({ busyFor }) => busyFor <= KEPT_FOR)
     .sort((a, b) => a.busyFor - b.busyFor)
     .slice(0, count);
   for (const { machine } of soonest) machine.room = nothing();
-  return soonest.length;
+  return soonest.map(({ machine }) => machine.host);
 }
 
 /**
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -87,4 +87,6 @@
   unmet: Map<string, number>;
   /** Room left on each machine. */
   left: Map<string, Amounts>;
+  /** Machines that are kept for tasks which need more room than they have yet. */
+  kept: ReadonlySet<string>;
 }
