Answers to news wait for their round; the leader's record no longer holds up rounds

The answer to a report with an end waited at most 0.7 s; one that missed its round carried neither the next start nor the reap that makes the worker report again, and the next report was up to 5 s off. On the leader a round also waited for the commit of the leader's own record.

Now the answer waits for 0.45 of the time between reports, 1.5 s at the most, and the leader's record is written beside the rounds. Machines keep 16 names of images in the books instead of 8.

--- a/packages/cluster/ledger.ts
+++ b/packages/cluster/ledger.ts
@@ -6,7 +6,7 @@
 /** Attempts are unique over all logs: a record's number times this, plus its share. */
 const ATTEMPT_STRIDE = 1024;
 
-const IMAGES_KEPT = 8;
+const IMAGES_KEPT = 16;
 /** From so many failures without a success between them a job, and not its machines, is held at fault. */
 export const JOB_AT_FAULT = 3;
 
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -37,8 +37,12 @@
 
 /** New starts are sent only while the state is known to be no older than this. */
 const START_FRESH: Micros = 3 * SECOND;
-/** How long the answer to a report with news waits for the round that takes it in. */
-const NEWS_WAIT: Micros = 700 * MS;
+/**
+ * How long the answer to a report with news waits for the round that takes it in, as a part of the time between
+ * reports and at the most. One that misses its round carries neither the next start nor the `reap` that would
+ * make the worker report again at once, and the room stands idle until the next report is due.
+ */
+const NEWS_WAIT = { part: 0.45, most: 1500 * MS };
 /** How long the watch may take to bring a token that a peer has told of. */
 const WORD_PATIENCE: Micros = SECOND;
 /** What the logs may take of the changes that the state service allows; users' jobs need the rest. */
@@ -153,7 +157,7 @@
     if (!this.roster.receive(report, this.clock.now())) return unavailable('stale report');
     if (this.scheduler.hasNews(report.Host)) {
       this.wake();
-      await this.nextRound(NEWS_WAIT);
+      await this.nextRound(Math.min(NEWS_WAIT.most, this.parts.settings.report * NEWS_WAIT.part));
     }
     const again = this.notEntitled(report);
     if (again) return again;
@@ -256,7 +260,7 @@
         await this.playRound(fresh);
         for (const done of waiters) done();
         this.enterRound('leading');
-        await this.leader.step(fresh);
+        this.leader.step(fresh);
       } catch (cause) {
         this.log.error({ cause: cause instanceof Error ? cause.stack : String(cause) }, 'round failed');
       }
--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -63,6 +63,7 @@
   private stamp = 0;
   private lastTypes: Micros = -Infinity;
   private lastShares: Micros = -Infinity;
+  private recording = false;
   private nextStep: Micros = -Infinity;
   private lastTold: Micros = -Infinity;
   private assigning = false;
@@ -88,14 +89,14 @@
   }
 
   /** One step, taken after each of the node's rounds while it leads. `fresh`: the state is recent enough. */
-  async step(fresh: boolean): Promise<void> {
+  step(fresh: boolean): void {
     const { membership, replica, clock, scheduler, writer } = this.parts;
     const lead = membership.lead();
     if (!lead) return;
     if (lead.stamp !== this.stamp) this.begin(lead.stamp);
     if (replica.types.size === 0 || clock.now() - this.lastTypes > TYPES_EVERY) void this.readTypes();
     void this.dealShares();
-    if (!fresh || clock.now() < this.nextStep) return;
+    if (!fresh || this.recording || clock.now() < this.nextStep) return;
     const began = clock.now();
     this.leaveCutZones();
     const outlooks = scheduler.survey(replica.owners);
@@ -104,11 +105,21 @@
     this.fleet.step(needs);
     this.tell();
     this.nextStep = clock.now() + (clock.now() - began) * FORESIGHT_REST;
+    void this.record();
+    void writer.tidy();
+  }
+
+  /** Writes what the fleet's keeper wants recorded. The node's own rounds go on meanwhile: their logs are others. */
+  private async record(): Promise<void> {
     const draft = this.fleet.draft();
-    if (isWorthARecord(draft)) {
-      if (await writer.append(new Map<LogId, RecordDraft>([['lead', draft]]))) this.fleet.landed(draft);
+    if (!isWorthARecord(draft)) return;
+    this.recording = true;
+    try {
+      const landed = await this.parts.writer.append(new Map<LogId, RecordDraft>([['lead', draft]]));
+      if (landed) this.fleet.landed(draft);
+    } finally {
+      this.recording = false;
     }
-    void writer.tidy();
   }
 
   private begin(stamp: number): void {
