Owners that did not see a task begin don't time it; tests at size

Cause: a new owner took every task that its first reports showed running as begun that moment, so after each change of owner the estimate of a class's run time fell, and with it the time after which machines seem free; a task whose result was kept from an earlier attempt ends at once and pulled it down as well.

--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -63,6 +63,7 @@
 const SETTLED: Micros = 45 * SECOND;
 const ALMOST_DONE: Micros = 12 * SECOND;
 const MOST_STOPS = 6;
+const KEPT_RESULT = 0.1;
 
 /** Starts in one round at the most, so that its records stay small. */
 const MOST_STARTS = 300;
@@ -111,12 +112,14 @@
     const now = this.clock.now();
     const session = this.roster.sessions.get(placement.host);
     const job = this.replica.jobs.get(placement.job);
-    const began = session?.runningSince.get(attemptKey(placement.piece, placement.try));
+    const began = session?.runningSince.get(attemptKey(placement.piece, placement.try)) ?? null;
     session?.runningSince.delete(attemptKey(placement.piece, placement.try));
     if (outcome === 'refused' && session) {
       session.shunnedUntil = Math.max(session.shunnedUntil, now + 5 * SECOND);
-    } else if (outcome === 'done' && job && began !== undefined && job.spec.ExpectS > 0) {
+    } else if (outcome === 'done' && job && began !== null && job.spec.ExpectS > 0) {
       const ratio = (now - began) / fromSeconds(job.spec.ExpectS);
+      // A task whose result was kept from an earlier attempt ends at once and tells nothing of its class.
+      if (ratio < KEPT_RESULT) return;
       const old = this.ratios.get(job.spec.Lane) ?? 1;
       this.ratios.set(job.spec.Lane, old + 0.1 * (Math.min(5, ratio) - old));
       const beganMs = Math.round((this.clock.wall() - now + began) / MS - placement.at);
@@ -188,10 +191,10 @@
     const job = this.replica.jobs.get(placement.job);
     if (!job) return 0;
     const session = this.roster.sessions.get(placement.host);
-    const began = session?.runningSince.get(attemptKey(placement.piece, placement.try));
+    const began = session?.runningSince.get(attemptKey(placement.piece, placement.try)) ?? null;
     const whole = this.expected(job.spec);
     // On another owner's machine only the time of the start is known.
-    if (began === undefined) return Math.max(0, placement.at * MS + whole - this.clock.wall());
+    if (began === null) return Math.max(0, placement.at * MS + whole - this.clock.wall());
     return Math.max(0, began + whole - this.clock.now());
   }
 
--- a/packages/testkit/scale.test.ts
+++ b/packages/testkit/scale.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { SECOND } from '#wire';
 import { sampleJob } from './rules.js';
-import { SimWorld } from './sim-world.js';
+import { SAMPLE_TYPES, SimWorld } from './sim-world.js';
 
 test('a job of 100,000 tasks is taken and worked on, and a small one beside it is not held up', async () => {
   const world = new SimWorld({ seed: 77 });
@@ -17,3 +17,52 @@
   assert.equal(world.told.get('j-2'), 'done');
   assert.ok(world.rules.starts > 300, `only ${world.rules.starts} starts`);
 });
+
+test('a fleet of three hundred machines and its tasks fit into the budgets of the state service', async () => {
+  const zones = ['east', 'west'];
+  const type = { Sku: 'small', Cpus: 4, Gpus: 0, MemGb: 16, CacheGb: 60, FetchGbPerS: 0.5 };
+  const world = new SimWorld({
+    seed: 78,
+    capacity: 80,
+    types: [{ ...type, Price: 0.24, LowPrice: 0.09, BootS: 10, Halls: zones }],
+    settings: {
+      teams: ['blue', 'green', 'red'].map((name) => ({ name, cpus: 500, cpusMax: 900, gpus: 0, gpusMax: 0 })),
+      ...{ stateRps: 60, stateWriteRps: 20, valueBytes: 4096, txnOps: 8 },
+    },
+  });
+  let n = 0;
+  const arrive = (): void => {
+    if (world.clock.time > 30 * SECOND) return;
+    const Crew = ['blue', 'green', 'red'][n % 3] as string;
+    world.submit(sampleJob(`j-${n++}`, { Crew, Pieces: 60, ExpectS: 15, Bundle: `img-${n % 5}` }));
+    world.clock.at(SECOND, arrive);
+  };
+  world.clock.at(2 * SECOND, arrive);
+  let most = 0;
+  for (let i = 0; i < 9; i++) {
+    await world.run(10 * SECOND);
+    most = Math.max(most, world.workers.size);
+  }
+  assert.ok(most >= 240, `only ${most} machines`);
+  assert.ok(world.rules.starts > 1500, `only ${world.rules.starts} starts`);
+  assert.deepEqual(world.rules.unfinished(), []);
+  const { asked, refused } = world.store;
+  assert.ok(refused < asked * 0.02, `${refused} of ${asked} requests refused`);
+});
+
+test('for a claim whose room is being freed no further task is stopped', async () => {
+  const types = SAMPLE_TYPES.filter((t) => t.Sku === 'small');
+  const world = new SimWorld({ seed: 79, capacity: 1, types });
+  world.clock.at(2 * SECOND, () => {
+    const saving = { Rank: 'best_effort' as const, BookmarkS: 2, StashS: 8, ExpectS: 400, Cpus: 2 };
+    world.submit(sampleJob('j-0', { ...saving, Crew: 'blue', Pieces: 6, MemGb: 7 }));
+    world.submit(sampleJob('j-1', { ...saving, Crew: 'green', Pieces: 2, MemGb: 7 }));
+  });
+  await world.run(100 * SECOND);
+  const change = { Rank: 'prod' as const, Crew: 'green', Pieces: 2, Cpus: 4, MemGb: 14 };
+  world.submit(sampleJob('j-9', { ...change, ExpectS: 10 }));
+  await world.run(60 * SECOND);
+  assert.equal(world.told.get('j-9'), 'done');
+  const halts = [...world.workers.values()].reduce((sum, w) => sum + w.halts, 0);
+  assert.ok(halts >= 2 && halts <= 4, `${halts} tasks were stopped for 2`);
+});
--- a/packages/testkit/sim-store.ts
+++ b/packages/testkit/sim-store.ts
@@ -27,6 +27,9 @@
   readonly rows = new Map<string, Row>();
   epoch = 0;
   outage = false;
+  /** Requests that came, and those that were over a limit. */
+  asked = 0;
+  refused = 0;
   /** Nodes that alone get 503. */
   readonly shunned = new Set<string>();
   /** Called with every transaction that is applied, before it is. */
@@ -58,6 +61,7 @@
   }
 
   readonly handler: Handler = (from, method, path, body) => {
+    this.asked++;
     if (!this.admit(this.requests, this.limits.rps, 1)) return { status: 429, body: {} };
     if (this.outage || this.shunned.has(from)) return { status: 503, body: {} };
     return this.route(from, method, path, body);
@@ -213,7 +217,10 @@
   private admit(bucket: { tokens: number; at: Micros }, rate: number, cost: number): boolean {
     bucket.tokens = Math.min(rate, bucket.tokens + ((this.clock.time - bucket.at) * rate) / SECOND);
     bucket.at = this.clock.time;
-    if (bucket.tokens < cost) return false;
+    if (bucket.tokens < cost) {
+      this.refused++;
+      return false;
+    }
     bucket.tokens -= cost;
     return true;
   }
--- a/packages/testkit/sim-worker.ts
+++ b/packages/testkit/sim-worker.ts
@@ -44,6 +44,8 @@
   /** Executes nothing while it hangs, but may go on later. */
   hanging = false;
   recallS: number | null = null;
+  /** Tasks that were stopped by command. */
+  halts = 0;
   private shift = 1;
   private tally = 0;
   private baton = 0;
@@ -208,6 +210,7 @@
   private halt(task: Task, windDownS: number): void {
     const spec = this.world.job(task.piece.slice(0, task.piece.lastIndexOf('/')));
     if (task.status === 'exited') return;
+    if (task.status !== 'saving') this.halts++;
     if (task.status === 'running' && spec && spec.BookmarkS > 0 && windDownS >= spec.StashS) {
       task.status = 'saving';
       this.changed = true;
--- a/packages/workers/roster.test.ts
+++ b/packages/workers/roster.test.ts
@@ -3,7 +3,7 @@
 import { Ledger, type LiveJob } from '#cluster';
 import { SECOND, type Report } from '#wire';
 import { sampleJob } from '#testkit';
-import { renewalBound, Roster, withDrift } from './roster.js';
+import { attemptKey, renewalBound, Roster, withDrift } from './roster.js';
 
 const LIMITS = { report: 2 * SECOND, lease: 10 * SECOND, cancel: 30 * SECOND };
 const NOW = 100 * SECOND;
@@ -111,3 +111,32 @@
   assert.ok(roster.receive(report({ Tally: 9 }), NOW));
   assert.equal(roster.endings(ledger, jobs, NOW)[0]?.outcome, 'undelivered');
 });
+
+test('how long a task has run is known only to an owner that saw it begin', () => {
+  const { roster } = scene();
+  roster.receive(report({ Pieces: running() }), NOW);
+  roster.receive(report({ Tally: 2, Pieces: running() }), NOW + SECOND);
+  assert.equal(roster.sessions.get('n-1')?.runningSince.get(attemptKey('j-1/0', TRY)), null);
+  const later = scene().roster;
+  later.receive(report(), NOW);
+  later.receive(report({ Tally: 2, Pieces: running() }), NOW + SECOND);
+  assert.equal(later.sessions.get('n-1')?.runningSince.get(attemptKey('j-1/0', TRY)), NOW + SECOND);
+});
+
+test('a worker whose next report is not the next of its numbers did not get its answer', () => {
+  const { roster } = scene();
+  const deaf = (): boolean => roster.sessions.get('n-1')?.deafSince !== null;
+  roster.receive(report(), NOW);
+  roster.answered('n-1', NOW);
+  roster.receive(report({ Tally: 2 }), NOW + SECOND);
+  assert.equal(deaf(), false);
+  roster.answered('n-1', NOW + SECOND);
+  roster.receive(report({ Tally: 5 }), NOW + 15 * SECOND);
+  assert.equal(deaf(), true);
+  // Silent reports say nothing new; the next number does.
+  roster.receive(report({ Tally: 7 }), NOW + 16 * SECOND);
+  assert.equal(deaf(), true);
+  roster.answered('n-1', NOW + 16 * SECOND);
+  roster.receive(report({ Tally: 8 }), NOW + 17 * SECOND);
+  assert.equal(deaf(), false);
+});
--- a/packages/workers/roster.ts
+++ b/packages/workers/roster.ts
@@ -25,8 +25,8 @@
   /** The worker has seen our token: it drops whatever an earlier owner still answers. */
   acknowledged: boolean;
   recallAt: Micros | null;
-  /** Our attempts that were seen running, with the time they were first seen so. */
-  runningSince: Map<string, Micros>;
+  /** Our attempts that were seen running, since when; null for those that ran before this owner looked. */
+  runningSince: Map<string, Micros | null>;
   /** Attempts launched by the answer to the newest report: their absence from it proves nothing. */
   launched: Set<string>;
   /**
@@ -137,7 +137,7 @@
       answeredAt: old?.answeredAt ?? -Infinity,
       acknowledged: report.Baton >= term.baton,
       recallAt: null,
-      runningSince: sameSession ? old.runningSince : new Map<string, Micros>(),
+      runningSince: sameSession ? old.runningSince : new Map<string, Micros | null>(),
       deafSince: old ? deafSince(old, report, now) : null,
       launched: new Set(),
       shunnedUntil: old?.shunnedUntil ?? -Infinity,
@@ -149,7 +149,8 @@
     if (session.recallAt !== null) session.state = 'recalled';
     for (const p of report.Pieces) {
       if (p.Status === 'running' && !session.runningSince.has(attemptKey(p.Piece, p.Try))) {
-        session.runningSince.set(attemptKey(p.Piece, p.Try), now);
+        // How long those of the first report have run is not known: taken for new they would seem to end early.
+        session.runningSince.set(attemptKey(p.Piece, p.Try), sameSession ? now : null);
       }
     }
     this.sessions.set(report.Host, session);
