A node that alone lost the state service says so to health checks, and users get new connections

Peers now tell each other whether the state service serves them. A node that it does not serve while a peer is served answers health checks with 503; refusals for that reason close the connection, so that the load balancer chooses anew. In an outage for all nobody is served and every node stays healthy (test).

--- a/packages/api/api.test.ts
+++ b/packages/api/api.test.ts
@@ -9,7 +9,7 @@
 const service: Service = {
   submit: (body) => {
     seen.push(body);
-    return Promise.resolve({ status: 503, body: { error: 'later' }, retryAfterS: 2 });
+    return Promise.resolve({ status: 503, body: { error: 'later' }, retryAfterS: 2, close: true });
   },
   show: (id) => Promise.resolve({ status: 200, body: { Uid: id } }),
   withdraw: () => Promise.reject(new Error('a fault')),
@@ -77,6 +77,7 @@
   });
   assert.equal(reply.status, 503);
   assert.equal(reply.headers.get('Retry-After'), '2');
+  assert.equal(reply.headers.get('Connection'), 'close');
   const report = await fetch(`http://${address}/v1/report`, {
     method: 'POST',
     body: new Uint8Array(encode({})),
--- a/packages/api/index.ts
+++ b/packages/api/index.ts
@@ -7,6 +7,8 @@
   status: number;
   body: object;
   retryAfterS?: number;
+  /** The client should use a new connection for what comes next. */
+  close?: boolean;
 }
 
 /** What the HTTP side needs of a node. */
@@ -88,6 +90,7 @@
     });
     ctx.status = answer.status;
     if (answer.retryAfterS !== undefined) ctx.set('Retry-After', String(answer.retryAfterS));
+    if (answer.close) ctx.set('Connection', 'close');
     ctx.type = 'application/msgpack';
     ctx.body = encode(answer.body);
   });
--- a/packages/cluster/peers.ts
+++ b/packages/cluster/peers.ts
@@ -4,9 +4,10 @@
 /** What came of a ping: `refused` hints at a dead process, `silent` at a cut. Neither proves anything. */
 export type PingResult = 'ok' | 'refused' | 'silent';
 
-/** What a node tells its peers: the highest token it knows. */
+/** What a node tells its peers: the highest token it knows, and whether the state service serves it. */
 export interface PeerWord {
   baton: number;
+  served: boolean;
 }
 
 export interface PingAnswer {
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -45,6 +45,8 @@
 const NEWS_WAIT = { part: 0.45, most: 1500 * MS };
 /** How long the watch may take to bring a token that a peer has told of. */
 const WORD_PATIENCE: Micros = SECOND;
+/** For how long what a peer told of itself holds. */
+const PEER_NEWS: Micros = 2 * SECOND;
 /** What the logs may take of the changes that the state service allows; users' jobs need the rest. */
 const LOG_PART = 0.5;
 /** A round starts no sooner than so many times its planning after the one before. */
@@ -66,6 +68,8 @@
   private dirty = false;
   /** The highest token that a peer told of, and when. */
   private heard = { baton: 0, since: -Infinity };
+  /** When a peer last told that the state service serves it. */
+  private peerServedAt: Micros = -Infinity;
   private wakeRound: (() => void) | null = null;
   private roundWaiters: (() => void)[] = [];
   private lastRound: Micros = -Infinity;
@@ -138,11 +142,15 @@
 
   /** What this node tells its peers. */
   word(): PeerWord {
-    return { baton: this.replica.baton.value };
+    return { baton: this.replica.baton.value, served: this.isServed() };
   }
 
-  /** 200 once this node can take requests. An outage of the state service hits all alike and changes nothing. */
+  /**
+   * 200 once this node can take requests. An outage of the state service hits all alike and changes nothing; if
+   * a peer is served and this node alone is not, users are better off elsewhere.
+   */
   health(): Answer {
+    if (this.isAlone()) return unavailable('cut off from the state service');
     const ready = this.replica.applied > 0 && this.replica.types.size > 0;
     return ready ? { status: 200, body: { Status: 'ok' } } : unavailable('not ready yet');
   }
@@ -200,7 +208,16 @@
     return baton > this.replica.baton.value && this.clock.now() - since > WORD_PATIENCE;
   }
 
-  private hear({ baton }: PeerWord): void {
+  private isServed(): boolean {
+    return this.replica.state === 'following' && this.clock.now() - this.replica.freshAt < START_FRESH;
+  }
+
+  private isAlone(): boolean {
+    return !this.isServed() && this.clock.now() - this.peerServedAt < PEER_NEWS;
+  }
+
+  private hear({ baton, served }: PeerWord): void {
+    if (served) this.peerServedAt = this.clock.now();
     if (baton > this.heard.baton) this.heard = { baton, since: this.clock.now() };
   }
 
--- a/packages/daemon/links.ts
+++ b/packages/daemon/links.ts
@@ -12,6 +12,7 @@
     { name: 'member', type: 'string' },
     { name: 'number', type: 'long' },
     { name: 'baton', type: 'long' },
+    { name: 'served', type: 'boolean' },
   ],
 });
 
@@ -133,7 +134,9 @@
     socket.on('error', lost);
     socket.on('close', lost);
     readMessages(socket, (message) => {
-      if (message.number === this.waiting?.number) this.waiting.done('ok', { baton: message.baton });
+      if (message.number === this.waiting?.number) {
+        this.waiting.done('ok', { baton: message.baton, served: message.served });
+      }
     });
     socket.connect(split(this.endpoint));
     return socket;
--- a/packages/daemon/users.ts
+++ b/packages/daemon/users.ts
@@ -5,7 +5,8 @@
 import type { StoreClient } from '#store';
 import { type Clock, isJobId, type JobAnswer, MS, parseSubmission, sleep, type Submission } from '#wire';
 
-const AWAY: Answer = { status: 503, body: { error: 'state not reachable' }, retryAfterS: 1 };
+/** Another node may be able to: a new connection lets the load balancer choose again. */
+const AWAY: Answer = { status: 503, body: { error: 'state not reachable' }, retryAfterS: 1, close: true };
 const TRIES = 3;
 
 export function unavailable(error: string): Answer {
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -166,6 +166,11 @@
     return this.renewals.get(index) ?? 0;
   }
 
+  /** What this node answers health checks with; null while it is down. */
+  health(index: number): number | null {
+    return this.nodes[index]?.controller?.health().status ?? null;
+  }
+
   private settingsOf(index: number): Settings {
     return sampleSettings(index, this.options.nodes ?? 3, this.options.settings);
   }
@@ -197,7 +202,7 @@
     controller.start();
     this.net.serve(settings.clusterListen, settings.domain, () => ({
       status: 200,
-      body: { Baton: controller.word().baton },
+      body: { Baton: controller.word().baton, Served: controller.word().served },
     }));
     this.net.serve(settings.bind, settings.domain, async (_from, method, path, body) => {
       const answer =
@@ -296,7 +301,10 @@
     const call = this.net.caller(member, zone, alive);
     return (endpoint, timeout) =>
       call(endpoint, 'GET', '/', undefined, timeout).then(
-        (reply) => ({ result: 'ok', word: { baton: Number(reply.body['Baton']) } }),
+        (reply) => ({
+          result: 'ok',
+          word: { baton: Number(reply.body['Baton']), served: reply.body['Served'] === true },
+        }),
         (cause: unknown) => ({
           result: String(cause).includes('refused') ? 'refused' : 'silent',
           word: null,
--- a/packages/testkit/troubles.test.ts
+++ b/packages/testkit/troubles.test.ts
@@ -80,6 +80,22 @@
   await world.run(6 * SECOND);
   assert.equal(world.workerReports(cut), late, 'it still answers workers');
   assert.equal(ownersOf(world).has(cut), false);
+  assert.equal(world.health(cut), 503, 'users are still sent to it');
+  world.store.shunned.clear();
+  await world.run(4 * SECOND);
+  assert.equal(world.health(cut), 200);
+});
+
+test('in an outage for all every node stays healthy, so that users are back at once', async () => {
+  const world = await busyWorld({ seed: 47 });
+  world.store.setOutage(true);
+  await world.run(12 * SECOND);
+  assert.deepEqual(
+    [0, 1, 2].map((i) => world.health(i)),
+    [200, 200, 200],
+  );
+  world.store.setOutage(false);
+  await untilDone(world, ['j-1', 'j-2'], 150 * SECOND);
 });
 
 test('one that lost the peers, too, falls silent within its bound, and returns without harm', async () => {
