--- a/packages/testkit/chaos.test.ts
+++ b/packages/testkit/chaos.test.ts
@@ -121,6 +121,19 @@
         },
       );
     },
+    () => {
+      // Loses the workers, and nothing else.
+      const links = [...world.workers.keys()].map((name) => `${name}>10.0.0.${node}:80`);
+      during(
+        5 + random() * 40,
+        () => {
+          for (const link of links) net.refused.add(link);
+        },
+        () => {
+          for (const link of links) net.refused.delete(link);
+        },
+      );
+    },
     () => {
       // Connections between controllers are refused.
       const all = [...Array(world.nodeCount).keys()];
