Idle connections give way before the machine's limit is reached; room for all workers at once

Those of machines that died or were cut off were never closed, and at the machine's limit links to peers and to the state service fail as readily as a user's. The HTTP side now keeps what the node needs itself free and closes the connection that was idle longest.

--- a/packages/api/api.test.ts
+++ b/packages/api/api.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
-import { type AddressInfo } from 'node:net';
+import { type AddressInfo, connect, type Socket } from 'node:net';
+import { once } from 'node:events';
 import { after, before, test } from 'node:test';
 import type { Server } from 'node:http';
 import { decode, encode, httpCaller, type Method, SECOND } from '#wire';
 import { createApp, listen, type Service } from './index.js';
 
+const MOST = 12;
 const seen: unknown[] = [];
 const service: Service = {
   submit: (body) => {
@@ -24,6 +26,7 @@
   server = await listen(
     createApp(service, (cause) => faults.push(cause)),
     '127.0.0.1:0',
+    MOST,
   );
   address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
 });
@@ -85,3 +88,41 @@
   const body = decode(Buffer.from(await report.arrayBuffer())) as { Baton: bigint };
   assert.equal(body.Baton, 18446744073709551615n);
 });
+
+/** A connection of its own with one answered request on it. */
+async function openOne(): Promise<Socket> {
+  const socket = connect(Number(address.split(':')[1]), '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.write('GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n');
+  await once(socket, 'data');
+  return socket;
+}
+
+// Connections of dead machines used to stay for ever, until the machine's own limit failed links to the peers.
+test('at the limit the connection that was idle longest gives way, one in use does not', async () => {
+  server.closeAllConnections();
+  const sockets: Socket[] = [];
+  for (let i = 0; i < MOST; i++) sockets.push(await openOne());
+  const [first, second] = sockets as [Socket, Socket];
+  first.write('GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n');
+  await once(first, 'data');
+  const gone = once(second, 'close');
+  sockets.push(await openOne());
+  await gone;
+  assert.equal(first.destroyed, false);
+  assert.equal(sockets.filter((s) => s.destroyed).length, 1);
+  for (const socket of sockets) socket.destroy();
+});
+
+test('a connection with a request under way is kept, however old', async () => {
+  server.closeAllConnections();
+  const busy = connect(Number(address.split(':')[1]), '127.0.0.1');
+  busy.write('POST /submissions HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n');
+  await once(busy, 'connect');
+  const sockets: Socket[] = [];
+  for (let i = 0; i < MOST + 3; i++) sockets.push(await openOne());
+  busy.write(encode({}));
+  const [bytes] = (await once(busy, 'data')) as [Buffer];
+  assert.match(bytes.toString('latin1'), /^HTTP\/1.1 503/);
+  for (const socket of [...sockets, busy]) socket.destroy();
+});
--- a/packages/api/index.ts
+++ b/packages/api/index.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import Koa from 'koa';
 import { decode, encode, isFields, MAX_BODY_BYTES } from '#wire';
+import { Connections } from './connections.js';
 
 /** An answer to a user or a worker, before it is put on the wire. */
 export interface Answer {
@@ -114,7 +115,8 @@
 /** Kept connections stay open until the client ends them, as the protocol says. */
 const KEEP_OPEN_MS = 3_600_000;
 
-export function listen(app: Koa, address: string): Promise<Server> {
+/** Serves on the address with at most so many open connections. */
+export function listen(app: Koa, address: string, most: number): Promise<Server> {
   const cut = address.lastIndexOf(':');
   const handle = app.callback();
   const server = createServer((req, res) => {
@@ -122,9 +124,12 @@
   });
   server.keepAliveTimeout = KEEP_OPEN_MS;
   server.requestTimeout = 0;
+  new Connections(server, most);
+  // All workers may come at once, after the other nodes have ended.
+  const at = { port: Number(address.slice(cut + 1)), host: address.slice(0, cut), backlog: most };
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(Number(address.slice(cut + 1)), address.slice(0, cut), () => {
+    server.listen(at, () => {
       resolve(server);
     });
   });
--- a/packages/daemon/main.ts
+++ b/packages/daemon/main.ts
@@ -55,6 +55,16 @@
   return { config, operator: given.get('--operator') ?? null };
 }
 
+/** Connections to the state service, and as many to the cloud, at the most. */
+function callers({ sockets }: Settings): number {
+  return Math.max(8, Math.min(64, Math.floor(sockets / 16)));
+}
+
+/** What workers and users must leave of the machine's connections: for both services, the peers, and some spare. */
+function reserve(settings: Settings): number {
+  return 2 * callers(settings) + 4 * settings.peers.length + 32;
+}
+
 async function run(settings: Settings, tuning: Tuning): Promise<void> {
   const level = process.env['LOG_LEVEL'] ?? 'info';
   const log = pino(
@@ -68,7 +78,7 @@
     clock: steadyClock(),
     random: uniform(randomBytes(4).readInt32LE()),
     incarnation,
-    call: httpCaller(64),
+    call: httpCaller(callers(settings)),
     ping: pingOver(settings.member, () => controller.word()),
     log,
   });
@@ -90,7 +100,7 @@
     },
     report,
   );
-  await listen(app, settings.bind);
+  await listen(app, settings.bind, Math.max(16, settings.sockets - reserve(settings)));
   log.info({ bind: settings.bind, incarnation }, 'listening');
 }
 
