--- a/packages/testkit/chaos.test.ts
+++ b/packages/testkit/chaos.test.ts
@@ -178,6 +178,25 @@
         restart(node, 0.05 + random() * 0.3);
       });
     },
+    () => {
+      // Stands still while its clocks run on, for less than a grant's life up to well over a lease.
+      world.freezeNode(node, (1 + random() * 29) * SECOND);
+    },
+    () => {
+      // Many machines fail at once: some die, some hang for less or more than a lease.
+      for (const w of world.workers.values()) {
+        const there = cloud.hosts.get(w.machine.host);
+        const luck = random();
+        if (luck < 0.25 && there) cloud.die(there);
+        else if (luck < 0.6) {
+          during(
+            2 + random() * 20,
+            () => (w.hanging = true),
+            () => (w.hanging = false),
+          );
+        }
+      }
+    },
     () => {
       const set = (on: boolean) => () => {
         cloud.outage = on;
--- a/packages/testkit/sim-clock.ts
+++ b/packages/testkit/sim-clock.ts
@@ -6,6 +6,12 @@
   run: () => void;
 }
 
+/**
+ * Lets a step happen to a process: at once, never if the process is gone, or once it moves again if it stands
+ * still meanwhile.
+ */
+export type Gate = (step: () => void) => void;
+
 /** Simulated time: events in order, each followed by everything that it made ready. */
 export class SimClock {
   time: Micros = 1_000_000;
@@ -22,15 +28,28 @@
     };
   }
 
-  /** A process's own view: its steady clock runs a little off, its time of day too; its timers die with it. */
-  view(alive: () => boolean, drift: number, wallOff: Micros): Clock {
+  /**
+   * A process's own view: its steady clock runs a little off, its time of day too; its timers die with it. Both
+   * clocks run on while it stands still.
+   */
+  view(gate: Gate, drift: number, wallOff: Micros): Clock {
     return {
       now: () => Math.floor(this.time * (1 + drift)),
       wall: () => 1_790_000_000_000_000 + this.time + wallOff,
-      after: (delay, run) =>
-        this.at(delay / (1 + drift), () => {
-          if (alive()) run();
-        }),
+      after: (delay, run) => {
+        let cancelled = false;
+        const timer = this.at(delay / (1 + drift), () => {
+          gate(() => {
+            if (!cancelled) run();
+          });
+        });
+        return {
+          cancel: () => {
+            cancelled = true;
+            timer.cancel();
+          },
+        };
+      },
     };
   }
 
--- a/packages/testkit/sim-net.ts
+++ b/packages/testkit/sim-net.ts
@@ -10,7 +10,7 @@
   type Reply,
   SECOND,
 } from '#wire';
-import type { SimClock } from './sim-clock.js';
+import type { Gate, SimClock } from './sim-clock.js';
 
 export interface Served {
   status: number;
@@ -73,15 +73,15 @@
     else this.isolated.set(zone, mode);
   }
 
-  /** A caller for one party. Once `alive` is false nothing reaches it any more. */
-  caller(from: string, place: string | null, alive: () => boolean): Caller {
+  /** A caller for one party; what comes back reaches it through the gate. */
+  caller(from: string, place: string | null, gate: Gate): Caller {
     return (endpoint, method, path, body, timeout) =>
       new Promise<Reply>((resolve, reject) => {
         let over = false;
         const finish = (act: () => void): void => {
           if (over) return;
           over = true;
-          if (alive()) act();
+          gate(act);
         };
         this.clock.at(timeout, () => {
           finish(() => {
--- a/packages/testkit/sim-worker.ts
+++ b/packages/testkit/sim-worker.ts
@@ -9,7 +9,7 @@
   type Submission,
 } from '#wire';
 import type { MachineFacts, RuleChecker } from './rules.js';
-import type { SimClock } from './sim-clock.js';
+import type { Gate, SimClock } from './sim-clock.js';
 
 interface Task {
   piece: string;
@@ -31,7 +31,7 @@
   job: (id: string) => Submission | undefined;
   /** Addresses of the controller nodes by name. */
   nodes: { member: string; endpoint: string }[];
-  caller: (alive: () => boolean) => Caller;
+  caller: (gate: Gate) => Caller;
   limits: WorkerLimits;
   capacity: { cpus: number; gpus: number; memGb: number };
   /** Every task fails here. */
@@ -64,7 +64,9 @@
   ) {
     this.leaseFrom = world.clock.time;
     this.node = Math.floor(world.random() * world.nodes.length);
-    this.call = world.caller(() => this.alive);
+    this.call = world.caller((step) => {
+      if (this.alive) step();
+    });
     this.tick();
   }
 
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -21,7 +21,7 @@
 } from '#wire';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { BrokenRule, RuleChecker, sampleJob } from './rules.js';
-import { SimClock } from './sim-clock.js';
+import { type Gate, SimClock } from './sim-clock.js';
 import { type CloudHost, SimCloud } from './sim-cloud.js';
 import { SimNet } from './sim-net.js';
 import { SimStore } from './sim-store.js';
@@ -79,7 +79,14 @@
 interface Node {
   controller: Controller | null;
   index: number;
-  alive: { on: boolean };
+  life: Life;
+}
+
+/** One start of a node's process. */
+interface Life {
+  on: boolean;
+  /** Until then the process stands still, while its clocks run on. */
+  thaws: Micros;
 }
 
 export interface WorldOptions {
@@ -152,7 +159,7 @@
     this.net.serve(STATE, null, (...args) => this.guarded(() => this.store.handler(...args)));
     this.net.serve(CLOUD, null, this.cloud.handler);
     for (let i = 0; i < (options.nodes ?? 3); i++) {
-      this.nodes.push({ controller: null, index: i, alive: { on: false } });
+      this.nodes.push({ controller: null, index: i, life: { on: false, thaws: 0 } });
       this.startNode(i);
     }
   }
@@ -181,30 +188,32 @@
 
   startNode(index: number): void {
     const node = this.nodes[index] as Node;
-    if (node.alive.on) return;
-    const alive = { on: true };
-    node.alive = alive;
+    if (node.life.on) return;
+    const life: Life = { on: true, thaws: 0 };
+    node.life = life;
+    const gate = this.gateOf(life);
     const settings = this.settingsOf(index);
-    const isAlive = (): boolean => alive.on;
     const drift = (this.random() - 0.5) * 0.001;
     const wallOff = Math.floor((this.random() - 0.5) * 100 * MS);
     const controller = new Controller({
       settings,
       tuning: standardTuning(),
-      clock: this.clock.view(isAlive, drift, wallOff),
+      clock: this.clock.view(gate, drift, wallOff),
       random: this.random,
       incarnation: `i${++this.starts}`,
-      call: this.net.caller(settings.member, settings.domain, isAlive),
-      ping: this.pingFrom(settings.member, settings.domain, isAlive),
+      call: this.net.caller(settings.member, settings.domain, gate),
+      ping: this.pingFrom(settings.member, settings.domain, gate),
       log: this.options.log ?? SILENT,
     });
     node.controller = controller;
     controller.start();
-    this.net.serve(settings.clusterListen, settings.domain, () => ({
-      status: 200,
-      body: { Baton: controller.word().baton, Served: controller.word().served },
-    }));
+    const awake = (): Promise<void> => new Promise(gate);
+    this.net.serve(settings.clusterListen, settings.domain, async () => {
+      await awake();
+      return { status: 200, body: { Baton: controller.word().baton, Served: controller.word().served } };
+    });
     this.net.serve(settings.bind, settings.domain, async (_from, method, path, body) => {
+      await awake();
       const answer =
         path === '/v1/report'
           ? await controller.report(body)
@@ -216,20 +225,36 @@
       if (path === '/v1/report' && answer.status === 200) {
         this.renewals.set(index, this.workerReports(index) + 1);
       }
-      return alive.on ? answer : await new Promise(() => undefined);
+      return life.on ? answer : await new Promise(() => undefined);
     });
   }
 
   killNode(index: number): void {
     const node = this.nodes[index] as Node;
-    if (!node.alive.on) return;
-    node.alive.on = false;
+    if (!node.life.on) return;
+    node.life.on = false;
     node.controller = null;
     const settings = this.settingsOf(index);
     this.net.unplug(settings.bind);
     this.net.unplug(settings.clusterListen);
   }
 
+  /** The node's process stands still: timers, answers and requests wait for it, clocks don't. */
+  freezeNode(index: number, duration: Micros): void {
+    const { life } = this.nodes[index] as Node;
+    life.thaws = this.clock.time + duration;
+  }
+
+  private gateOf(life: Life): Gate {
+    const pass: Gate = (step) => {
+      if (!life.on) return;
+      if (this.clock.time >= life.thaws) step();
+      // In no order: of what has gathered meanwhile, anything may come first.
+      else this.clock.at(life.thaws - this.clock.time + this.random() * 20 * MS, () => pass(step));
+    };
+    return pass;
+  }
+
   /** Submits a job as a user does: again and again until it is taken, then polls until it is over. */
   submit(spec: Submission, cancelAfter: Micros | null = null): void {
     this.specs.set(spec.Uid, spec);
@@ -245,7 +270,9 @@
   }
 
   private async userLife(spec: Submission, cancelAfter: Micros | null): Promise<void> {
-    const call = this.net.caller(`user-${spec.Uid}`, null, () => true);
+    const call = this.net.caller(`user-${spec.Uid}`, null, (step) => {
+      step();
+    });
     const began = this.clock.time;
     const pause = (d: Micros): Promise<void> => new Promise((done) => this.clock.at(d, done));
     const ask = async (method: 'GET' | 'POST', path: string, body?: unknown): Promise<number> => {
@@ -289,7 +316,7 @@
       rules: this.rules,
       job: (id) => this.specs.get(id),
       nodes: this.nodes.map((n) => ({ member: `node-${n.index}`, endpoint: `10.0.0.${n.index}:80` })),
-      caller: (alive) => this.net.caller(host.host, host.hall, alive),
+      caller: (gate) => this.net.caller(host.host, host.hall, gate),
       limits: this.settingsOf(0),
       capacity: { cpus: type.Cpus, gpus: type.Gpus, memGb: type.MemGb },
       faulty: this.random() < this.faultyShare,
@@ -297,8 +324,8 @@
     this.workers.set(host.host, worker);
   }
 
-  private pingFrom(member: string, zone: string, alive: () => boolean): Ping {
-    const call = this.net.caller(member, zone, alive);
+  private pingFrom(member: string, zone: string, gate: Gate): Ping {
+    const call = this.net.caller(member, zone, gate);
     return (endpoint, timeout) =>
       call(endpoint, 'GET', '/', undefined, timeout).then(
         (reply) => ({
