Price steps by a machine's worth and bounded: urgent tasks no longer wait longest

Cause: a pass moved a price by 0.1 of top priority per CPU and per GB, times the gap. With all utilities below zero tasks rank by the size of their demand: rate-patch, urgent and a whole machine each, came after every tariff-rebuild, and no half was ever kept for it. Ruled out: keeping of halves (the log shows none kept while urgent ones waited), moves, the budget of the state service.

--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -136,7 +136,13 @@
   );
 }
 
-/** One price pass: every task picks its best shape, and each price follows the gap on its shape. */
+/**
+ * One price pass: every task picks its best shape, and each price follows the gap on its shape. A step is so large
+ * that a whole machine's worth of a resource moves by the same part of top priority, and it stays within that
+ * while the first machines of a shape come up and a hundred times as much is asked as there is. Prices far above
+ * all that anyone would pay come down only as room comes free, which on a full fleet takes minutes; until then
+ * tasks would rank by the size of their demand alone, and urgent ones that need a whole machine come last.
+ */
 function movePrices(pools: Pool[], segments: Segment[], top: number, options: RoundOptions): void {
   const chosen = new Map<Pool, Amounts>(pools.map((p) => [p, nothing()]));
   for (const segment of segments) {
@@ -149,14 +155,17 @@
     }
     if (best) take(chosen.get(best) ?? nothing(), segment.job.need, -segment.count);
   }
-  const step = options.step * top;
   for (const pool of pools) {
     const demand = chosen.get(pool) ?? nothing();
-    const move = (price: number, want: number, room: number, total: number): number =>
-      total > 0 ? Math.max(0, price + (step * (want - room)) / total) : 0;
-    pool.price.cpu = move(pool.price.cpu, demand.cpus, pool.room.cpus, pool.total.cpus);
-    pool.price.gpu = move(pool.price.gpu, demand.gpus, pool.room.gpus, pool.total.gpus);
-    pool.price.mem = move(pool.price.mem, demand.memGb, pool.room.memGb, pool.total.memGb);
+    const machine = pool.machines[0]?.total ?? nothing();
+    const move = (price: number, want: number, room: number, total: number, unit: number): number => {
+      if (total <= 0 || unit <= 0) return 0;
+      const step = (options.step * top) / unit;
+      return Math.max(0, price + step * Math.min(1, (want - room) / total));
+    };
+    pool.price.cpu = move(pool.price.cpu, demand.cpus, pool.room.cpus, pool.total.cpus, machine.cpus);
+    pool.price.gpu = move(pool.price.gpu, demand.gpus, pool.room.gpus, pool.total.gpus, machine.gpus);
+    pool.price.mem = move(pool.price.mem, demand.memGb, pool.room.memGb, pool.total.memGb, machine.memGb);
   }
 }
 
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -57,7 +57,7 @@
 
 export interface RoundOptions {
   passes: number;
-  /** Step per unit of gap, as a part of top priority. */
+  /** Step for a whole machine's worth of a resource at full gap, as a part of top priority. */
   step: number;
   /** Extra cost of a GPU shape to a task that needs no GPU, as a part of top priority. */
   gpuShapeCost: number;
