Urgent ranks four times normal, prod twelve times

Cause: urgent was worth twice normal, but a rate-patch task takes twice the CPUs of a tariff-rebuild one, so per CPU both were worth the same and the priced demand undid the rank. Ruled out: raising best_effort against normal (it has no such size).

--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -53,7 +53,11 @@
   borrowed: number;
 }
 
-const RANK_PRIORITY: Record<Rank, number> = { best_effort: 1, normal: 2, urgent: 4, prod: 8 };
+/**
+ * Utility is priority less what the demand costs, so a task of twice the size needs twice the priority to rank
+ * alike: from `urgent` on the steps are wide enough that one which needs a whole machine still comes first.
+ */
+const RANK_PRIORITY: Record<Rank, number> = { best_effort: 1, normal: 2, urgent: 8, prod: 24 };
 /** A machine whose room comes free within this time counts as on its way. */
 const SOON: Micros = 10 * SECOND;
 const SHUN: Micros = 20 * SECOND;
