Checkpoints have a part of the changes of their own: the leader's rounds are not held up

Cause: a checkpoint of 30 values (874 machines) came out of the same 4 changes a second as the records of the leader's rounds, which then waited for seconds: 5 to 10 rounds in ten seconds where the other nodes played 35 to 40. Ruled out: planning time (a fourth of the wait).

--- /dev/null
+++ b/packages/cluster/writer.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Pace, type StoreClient, type Write } from '#store';
+import { SimClock } from '#testkit';
+import { MS, SECOND } from '#wire';
+import type { HostRow } from './ledger.js';
+import type { Membership } from './membership.js';
+import { Replica } from './replica.js';
+import { LogWriter } from './writer.js';
+
+const SILENT = { debug: () => undefined, info: () => undefined, error: () => undefined };
+
+// At nine hundred machines the leader planned a round every two seconds while the others planned four a second.
+test('a checkpoint of many values goes out in its own time and does not hold up the rounds of the leader', async () => {
+  const clock = new SimClock();
+  const view = clock.view((step) => step(), 0, 0);
+  const sent: { writes: number; at: number }[] = [];
+  const store = {
+    commit: (_guards: unknown, writes: Write[]) => {
+      sent.push({ writes: writes.length, at: clock.time });
+      return Promise.resolve({ kind: 'applied', epoch: sent.length });
+    },
+  } as unknown as StoreClient;
+  const replica = new Replica(store, view, SILENT, 70);
+  for (let seq = 1; seq <= 100; seq++) {
+    const host = (i: number): HostRow => [`n-${seq}-${i}`, 'small', 'east', true, seq, 0];
+    replica.ledger.apply('lead', { Seq: seq, At: 0, Hosts: [...Array(20).keys()].map(host) });
+  }
+  const membership = { lead: () => ({ stamp: 1 }), shares: () => new Map() } as unknown as Membership;
+  const [rounds, upkeep] = [8, 4].map((rate) => new Pace(view, () => rate)) as [Pace, Pace];
+  const limits = { valueBytes: 2048, txnOps: 6 };
+  const writer = new LogWriter(store, replica, membership, view, limits, rounds, upkeep, SILENT);
+  let over = false;
+  void writer.tidy().then(() => (over = true));
+  for (let i = 0; i < 600 && !over; i++) {
+    await clock.run(clock.time + 100 * MS, () => undefined);
+    assert.equal(writer.wait(), 0, `a round has to wait after ${i / 10} s`);
+  }
+  assert.ok(over);
+  const values = sent.reduce((sum, s) => sum + s.writes, 0);
+  assert.ok(values > 20, `only ${values} values`);
+  const took = (sent.at(-1)?.at ?? 0) - (sent[0]?.at ?? 0);
+  assert.ok(took > ((values - 10) / 4) * SECOND, `${values} values in ${took / SECOND} s`);
+});
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -44,7 +44,13 @@
     private readonly membership: Membership,
     private readonly clock: Clock,
     private readonly limits: { valueBytes: number; txnOps: number },
+    /** For records and jobs' ends. */
     private readonly pace: Pace,
+    /**
+     * For checkpoints, which only the leader writes: dozens of values each at a thousand machines. Out of the
+     * same part as its records they would hold up its rounds for seconds.
+     */
+    private readonly upkeep: Pace,
     private readonly log: Logger,
   ) {}
 
@@ -118,7 +124,8 @@
       const litter = this.replica.litter().slice(0, this.limits.txnOps);
       const guards = this.ownerships(new Set<LogId>(['lead']));
       if (guards && litter.length > 0) {
-        this.pace.take(litter.length);
+        await sleep(this.clock, this.upkeep.wait());
+        this.upkeep.take(litter.length);
         await this.store.commit(
           guards,
           litter.map((remove) => ({ remove })),
@@ -162,8 +169,8 @@
    */
   private async insist(guards: Guard[], writes: Write[]): Promise<boolean> {
     for (let i = 0; i < CHECKPOINT_TRIES; i++) {
-      await sleep(this.clock, Math.max(this.pace.wait(), i > 0 ? CHECKPOINT_RETRY : 0));
-      this.pace.take(writes.length);
+      await sleep(this.clock, Math.max(this.upkeep.wait(), i > 0 ? CHECKPOINT_RETRY : 0));
+      this.upkeep.take(writes.length);
       const result = await this.store.commit(guards, writes);
       if (result.kind === 'applied') return true;
       if (result.kind === 'refused') return false;
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -47,8 +47,9 @@
 const WORD_PATIENCE: Micros = SECOND;
 /** For how long what a peer told of itself holds. */
 const PEER_NEWS: Micros = 2 * SECOND;
-/** What the logs may take of the changes that the state service allows; users' jobs need the rest. */
+/** What the logs and their checkpoints may take of the changes that the state service allows; users' jobs need the rest. */
 const LOG_PART = 0.5;
+const CHECKPOINT_PART = 0.16;
 /** A round starts no sooner than so many times its planning after the one before. */
 const PLAN_REST = 4;
 
@@ -98,7 +99,8 @@
       clock,
       () => (settings.stateWriteRps * LOG_PART) / Math.max(1, replica.members.size),
     );
-    this.writer = new LogWriter(store, replica, membership, clock, settings, pace, log);
+    const upkeep = new Pace(clock, () => settings.stateWriteRps * CHECKPOINT_PART);
+    this.writer = new LogWriter(store, replica, membership, clock, settings, pace, upkeep, log);
     this.users = new UserDesk(settings, store, replica, clock);
     this.scheduler = new Scheduler(settings, parts.tuning, clock, random, replica, this.roster, log);
     const { writer, scheduler } = this;
