--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -192,8 +192,8 @@
       if (left === 0 || starts.length >= options.mostStarts) break;
       const roomy = pool.machines.filter((m) => rule.open(m.hall) && fits(job.need, m.room));
       // A machine that has the image starts the task at once: the random choice is among those first.
-      const warm = roomy.filter((m) => m.warm.has(job.bundle));
-      const cold = roomy.filter((m) => !m.warm.has(job.bundle));
+      const warm = roomy.filter((m) => m.warm.includes(job.bundle));
+      const cold = roomy.filter((m) => !m.warm.includes(job.bundle));
       for (const group of [warm, cold]) {
         while (left > 0 && group.length > 0 && starts.length < options.mostStarts) {
           const at = tightest(group, random, options.choices);
@@ -248,20 +248,22 @@
 }
 
 /**
- * Of some random roomy machines the one with least room left: whole machines stay free for large tasks, and
- * idle ones can be returned.
+ * Of some random roomy machines the one with least room left, unless another's worker will be told much sooner:
+ * whole machines stay free for large tasks, and idle ones can be returned.
  */
 function tightest(group: readonly RoomyMachine[], random: () => number, choices: number): number {
   let best = Math.floor(random() * group.length);
   for (let i = 1; i < choices; i++) {
     const other = Math.floor(random() * group.length);
-    if (filled(group[other]) > filled(group[best])) best = other;
+    if (appeal(group[other]) > appeal(group[best])) best = other;
   }
   return best;
 }
 
-function filled(machine: RoomyMachine | undefined): number {
-  return machine && machine.total.cpus > 0 ? 1 - machine.room.cpus / machine.total.cpus : 0;
+/** A machine that is full but for this task is worth waiting for its next report. */
+function appeal(machine: RoomyMachine | undefined): number {
+  if (!machine || machine.total.cpus <= 0) return 0;
+  return 1 - machine.room.cpus / machine.total.cpus - machine.toldIn;
 }
 
 /** Which zones a job's next task may go to, given where its other tasks are at this moment. */
