--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -177,7 +177,7 @@
     const now = this.clock.now();
     const fresh = now - this.replica.freshAt < START_FRESH;
     const orders = this.roster.orders(report.Host, this.replica.ledger, this.replica.jobs, fresh);
-    this.roster.answered(report.Host, now, orders.length);
+    this.roster.answered(report.Host, now);
     return { status: 200, body: { Baton: this.replica.baton.value, Orders: orders } };
   }
 
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -356,9 +356,8 @@
     const { build, hall, loaners } = book;
     const upkeep = (loaners ? type.LowPrice : type.Price) / Math.max(type.Cpus, 1);
     const busyFor = (): Micros => this.busyFor(host);
-    const toldIn = this.roster.toldIn(host, this.clock.now());
     return {
-      ...{ host, build, hall, loaners, total: amountsOf(type), room, busyFor, toldIn, upkeep },
+      ...{ host, build, hall, loaners, total: amountsOf(type), room, busyFor, upkeep },
       warm: book.images,
     };
   }
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -248,22 +248,20 @@
 }
 
 /**
- * Of some random roomy machines the one with least room left, unless another's worker will be told much sooner:
- * whole machines stay free for large tasks, and idle ones can be returned.
+ * Of some random roomy machines the one with least room left: whole machines stay free for large tasks, and
+ * idle ones can be returned.
  */
 function tightest(group: readonly RoomyMachine[], random: () => number, choices: number): number {
   let best = Math.floor(random() * group.length);
   for (let i = 1; i < choices; i++) {
     const other = Math.floor(random() * group.length);
-    if (appeal(group[other]) > appeal(group[best])) best = other;
+    if (filled(group[other]) > filled(group[best])) best = other;
   }
   return best;
 }
 
-/** A machine that is full but for this task is worth waiting for its next report. */
-function appeal(machine: RoomyMachine | undefined): number {
-  if (!machine || machine.total.cpus <= 0) return 0;
-  return 1 - machine.room.cpus / machine.total.cpus - machine.toldIn;
+function filled(machine: RoomyMachine | undefined): number {
+  return machine && machine.total.cpus > 0 ? 1 - machine.room.cpus / machine.total.cpus : 0;
 }
 
 /** Which zones a job's next task may go to, given where its other tasks are at this moment. */
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -45,8 +45,6 @@
   warm: readonly string[];
   /** Time until all that is on it should have ended. */
   busyFor: () => Micros;
-  /** When its worker will be told of a start, as a part of the time between two reports. */
-  toldIn: number;
   /** What the machine costs per hour and CPU; decides only between shapes of equal utility. */
   upkeep: number;
 }
@@ -69,7 +67,7 @@
   /** Raise for what lies within a team's guarantee, as a part of top priority. */
   guaranteeWeight: number;
   mostStarts: number;
-  /** Random roomy machines that are looked at for each task; the one that suits best gets it. */
+  /** Random roomy machines that are looked at for each task; the fullest of them gets it. */
   choices: number;
 }
 
--- a/packages/workers/roster.ts
+++ b/packages/workers/roster.ts
@@ -22,8 +22,6 @@
   heardAt: Micros;
   /** Steady time at which a report was last answered 200, or -Infinity. */
   answeredAt: Micros;
-  /** When the next report should come; that of this one while its answer waits for a round. */
-  dueAt: Micros;
   /** The worker has seen our token: it drops whatever an earlier owner still answers. */
   acknowledged: boolean;
   recallAt: Micros | null;
@@ -79,10 +77,6 @@
   return Math.max(0, Math.floor((limits.cancel - limits.lease) * 0.996) - SECOND);
 }
 
-/** A worker reports a change, but no more often than this. */
-const AFTER_CHANGE: Micros = 500 * MS;
-/** From this part of the time between two reports on a report is overdue; they vary by a quarter. */
-const OVERDUE = 0.4;
 /** So many failed tasks in a row make a machine faulty. */
 const FAULTY_AFTER = 3;
 /** How long a machine is silent beyond its lease before it is given up. */
@@ -141,7 +135,6 @@
       report,
       heardAt: now,
       answeredAt: old?.answeredAt ?? -Infinity,
-      dueAt: now,
       acknowledged: report.Baton >= term.baton,
       recallAt: null,
       runningSince: sameSession ? old.runningSince : new Map<string, Micros | null>(),
@@ -164,23 +157,9 @@
     return true;
   }
 
-  /** Its newest report was answered, with so many commands: each changes something there, which is reported soon. */
-  answered(host: string, now: Micros, orders: number): void {
+  answered(host: string, now: Micros): void {
     const session = this.sessions.get(host);
-    if (!session) return;
-    session.answeredAt = now;
-    session.dueAt = session.heardAt + (orders > 0 ? AFTER_CHANGE : this.limits.report);
-  }
-
-  /**
-   * When this worker can next be told something, as a part of the time between two reports. One that is overdue may
-   * be dead, and must not draw starts.
-   */
-  toldIn(host: string, now: Micros): number {
-    const session = this.sessions.get(host);
-    if (!session) return 0;
-    const dueIn = (session.dueAt - now) / this.limits.report;
-    return dueIn < -OVERDUE ? 1 : Math.max(0, dueIn);
+    if (session) session.answeredAt = now;
   }
 
   stop(placement: Placement, windDownS: number): void {
