--- a/packages/testkit/troubles.test.ts
+++ b/packages/testkit/troubles.test.ts
@@ -152,3 +152,23 @@
   await world.run(700 * SECOND);
   assert.deepEqual(world.rules.neglected(), []);
 });
+
+test('a node that stands still for longer than its grant wakes without harm, and owns shares again', async () => {
+  for (const [seed, pause] of [
+    [61, 5],
+    [62, 11],
+    [63, 28],
+  ] as const) {
+    const world = await busyWorld({ seed });
+    const cold = [...ownersOf(world)].find((i) => i !== leaderOf(world)) ?? 0;
+    world.freezeNode(cold, pause * SECOND);
+    await world.run(4.5 * SECOND);
+    assert.equal(ownersOf(world).has(cold), false, 'its shares wait for it');
+    const before = world.workerReports(cold);
+    await world.run((pause - 4.5) * SECOND);
+    assert.equal(world.workerReports(cold), before, 'it moved while it stood still');
+    await world.run(12 * SECOND);
+    assert.equal(ownersOf(world).has(cold), true);
+    await untilDone(world, ['j-1', 'j-2'], 150 * SECOND);
+  }
+});
