A machine's first report, and one in the middle of a move, wait for the round that sees it

The first report of a machine that had come up or changed hands was answered at once and without a start; the start went with the next, four seconds later. In the middle of a move a worker was told 503 and lost a second at each node. Answers wait as those with news do, for one round and 1.5 s at the most.

--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -38,11 +38,14 @@
 /** New starts are sent only while the state is known to be no older than this. */
 const START_FRESH: Micros = 3 * SECOND;
 /**
- * How long the answer to a report with news waits for the round that takes it in, as a part of the time between
- * reports and at the most. One that misses its round carries neither the next start nor the `reap` that would
- * make the worker report again at once, and the room stands idle until the next report is due.
+ * How long the answer to a report with news, or to the first one of a machine, waits for the round that takes it
+ * in, as a part of the time between reports and at the most. One that misses its round carries neither the next
+ * start nor the `reap` that would make the worker report again at once, and the room stands idle until the next
+ * report is due.
  */
 const NEWS_WAIT = { part: 0.45, most: 1500 * MS };
+/** How long a report waits for the round that lets its machine go, or takes it. */
+const MOVE_WAIT = { part: 0.2, most: 700 * MS };
 /** How long the watch may take to bring a token that a peer has told of. */
 const WORD_PATIENCE: Micros = SECOND;
 /** For how long what a peer told of itself holds. */
@@ -160,15 +163,15 @@
   async report(body: unknown): Promise<Answer> {
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
+    // Refused in the middle of a move, a worker would look for its owner elsewhere, a second for each node.
+    if (this.isMoving(report.Host)) await this.takenIn(MOVE_WAIT);
     const refusal = this.notEntitled(report);
     if (refusal) return refusal;
     this.followOwnership();
+    const first = !this.roster.sessions.has(report.Host);
     // An older report than the newest known: its worker has given this exchange up.
     if (!this.roster.receive(report, this.clock.now())) return unavailable('stale report');
-    if (this.scheduler.hasNews(report.Host)) {
-      this.wake();
-      await this.nextRound(Math.min(NEWS_WAIT.most, this.parts.settings.report * NEWS_WAIT.part));
-    }
+    if (first || this.scheduler.hasNews(report.Host)) await this.takenIn(NEWS_WAIT);
     const again = this.notEntitled(report);
     if (again) return again;
     this.followOwnership();
@@ -181,6 +184,20 @@
     return { status: 200, body: { Baton: this.replica.baton.value, Orders: orders } };
   }
 
+  /** A round of this node lets the machine go at present, or is to take it. */
+  private isMoving(host: string): boolean {
+    const book = this.replica.ledger.hosts.get(host);
+    if (!book || this.replica.state !== 'following') return false;
+    if (book.share === null) return typeof book.to === 'number' && this.ownShares().has(book.to);
+    return this.ownShares().has(book.share) && this.isLettingGo(host);
+  }
+
+  /** Waits for the next round, which takes in what is known by now. */
+  private takenIn({ part, most }: typeof NEWS_WAIT): Promise<void> {
+    this.wake();
+    return this.nextRound(Math.min(most, this.parts.settings.report * part));
+  }
+
   /** The answer for a worker if this node may not act for the controllers towards it now. */
   private notEntitled(report: Report): Answer | null {
     const { ledger, owners, baton, state } = this.replica;
--- a/packages/testkit/scale.test.ts
+++ b/packages/testkit/scale.test.ts
@@ -66,3 +66,29 @@
   const halts = [...world.workers.values()].reduce((sum, w) => sum + w.halts, 0);
   assert.ok(halts >= 2 && halts <= 4, `${halts} tasks were stopped for 2`);
 });
+
+// A machine that came up used to be told of its first task a whole time between two reports later.
+test('a machine that comes up while tasks wait gets one with the answer to its first report', async () => {
+  const settings = { report: 6 * SECOND, lease: 20 * SECOND, cancel: 45 * SECOND };
+  const world = new SimWorld({ seed: 80, settings, types: SAMPLE_TYPES.filter((t) => t.Sku === 'small') });
+  world.clock.at(2 * SECOND, () => {
+    world.submit(sampleJob('j-1', { Crew: 'blue', Pieces: 10, ExpectS: 60 }));
+    world.submit(sampleJob('j-2', { Crew: 'green', Pieces: 8, ExpectS: 60 }));
+  });
+  const upAt = new Map<string, number>();
+  const waits: number[] = [];
+  while (waits.length < 8 && world.clock.time < 60 * SECOND) {
+    await world.run(SECOND / 4);
+    for (const [host, worker] of world.workers) {
+      const since = upAt.get(host) ?? world.clock.time;
+      upAt.set(host, since);
+      if (worker.taskCount === 0 || since < 0) continue;
+      waits.push(world.clock.time - since);
+      upAt.set(host, -1);
+    }
+  }
+  assert.equal(waits.length, 8);
+  // Of three nodes the first that it asks may be another's, and it may come up between two rounds.
+  waits.sort((a, b) => a - b);
+  assert.ok((waits[5] ?? Infinity) < 4 * SECOND, waits.map((w) => w / SECOND).join());
+});
