--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -113,9 +113,13 @@
     /** Requests a second that the state service allows all nodes. */
     stateRps: number,
   ) {
-    const part = (of: number) => (): number => (stateRps * of) / Math.max(1, this.members.size);
-    this.follows = new Pace(clock, part(FOLLOW_PART));
-    this.barriers = new Pace(clock, part(BARRIER_PART));
+    this.follows = new Pace(clock, () => this.partOf(stateRps * FOLLOW_PART));
+    this.barriers = new Pace(clock, () => this.partOf(stateRps * BARRIER_PART));
+  }
+
+  /** This node's part of what the state service allows all: each living member has the same. */
+  partOf(total: number): number {
+    return total / Math.max(1, this.members.size);
   }
 
   onChange(listener: () => void): void {
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -178,8 +178,7 @@
     // While the answer waited, the machine may have left and come back: then nothing is known of its worker.
     if (this.roster.sessions.get(report.Host)?.report !== report) return unavailable('stale report');
     const now = this.clock.now();
-    const fresh = now - this.replica.freshAt < START_FRESH;
-    const orders = this.roster.orders(report.Host, this.replica.ledger, this.replica.jobs, fresh);
+    const orders = this.roster.orders(report.Host, this.replica.ledger, this.replica.jobs, this.isServed());
     this.roster.answered(report.Host, now);
     return { status: 200, body: { Baton: this.replica.baton.value, Orders: orders } };
   }
@@ -214,8 +213,7 @@
     if (book.share === null || this.isLettingGo(report.Host)) return unavailable('machine on the move');
     // A higher token than the highest known here: somebody else may own this by now.
     if (report.Baton > baton.value || this.isOutdated()) return unavailable('superseded');
-    const unknownFor = this.clock.now() - this.replica.freshAt;
-    return unknownFor > renewalBound(this.parts.settings) ? unavailable('state not reachable') : null;
+    return this.stateAge() > renewalBound(this.parts.settings) ? unavailable('state not reachable') : null;
   }
 
   /**
@@ -227,8 +225,13 @@
     return baton > this.replica.baton.value && this.clock.now() - since > WORD_PATIENCE;
   }
 
+  /** The state is known to be recent enough for new starts. */
   private isServed(): boolean {
-    return this.replica.state === 'following' && this.clock.now() - this.replica.freshAt < START_FRESH;
+    return this.replica.state === 'following' && this.stateAge() < START_FRESH;
+  }
+
+  private stateAge(): Micros {
+    return this.clock.now() - this.replica.freshAt;
   }
 
   /** A peer was served well after this node was: in an outage for all they lose the service about together. */
@@ -293,8 +296,7 @@
       const waiters = this.roundWaiters;
       this.roundWaiters = [];
       try {
-        const fresh =
-          this.clock.now() - this.replica.freshAt < START_FRESH && this.replica.state === 'following';
+        const fresh = this.isServed();
         await this.playRound(fresh);
         for (const done of waiters) done();
         this.enterRound('leading');
--- a/packages/testkit/chaos.test.ts
+++ b/packages/testkit/chaos.test.ts
@@ -38,6 +38,7 @@
     on();
     clock.at(seconds * SECOND, off);
   };
+  const { store, net, cloud } = world;
   const node = Math.floor(random() * world.nodeCount);
   const restart = (i: number, after: number): void => {
     during(
@@ -50,9 +51,19 @@
       },
     );
   };
+  const refuse = (links: readonly string[], seconds: number): void => {
+    during(
+      seconds,
+      () => {
+        for (const link of links) net.refused.add(link);
+      },
+      () => {
+        for (const link of links) net.refused.delete(link);
+      },
+    );
+  };
   const worker = [...world.workers.values()][Math.floor(random() * world.workers.size)];
   const host = worker && world.cloud.hosts.get(worker.machine.host);
-  const { store, net, cloud } = world;
   const kinds: (() => void)[] = [
     () => {
       restart(node, 0.2 + random() * 5);
@@ -109,44 +120,24 @@
       const name = `node-${node}`;
       const others = [...Array(world.nodeCount).keys()].filter((i) => i !== node);
       const links = others.flatMap((i) => [`${name}>10.0.0.${i}:81`, `node-${i}>10.0.0.${node}:81`]);
+      const seconds = 5 + random() * 40;
+      refuse(links, seconds);
       during(
-        5 + random() * 40,
-        () => {
-          store.shunned.add(name);
-          for (const link of links) net.refused.add(link);
-        },
-        () => {
-          store.shunned.delete(name);
-          for (const link of links) net.refused.delete(link);
-        },
+        seconds,
+        () => store.shunned.add(name),
+        () => store.shunned.delete(name),
       );
     },
     () => {
       // Loses the workers, and nothing else.
       const links = [...world.workers.keys()].map((name) => `${name}>10.0.0.${node}:80`);
-      during(
-        5 + random() * 40,
-        () => {
-          for (const link of links) net.refused.add(link);
-        },
-        () => {
-          for (const link of links) net.refused.delete(link);
-        },
-      );
+      refuse(links, 5 + random() * 40);
     },
     () => {
       // Connections between controllers are refused.
       const all = [...Array(world.nodeCount).keys()];
       const links = all.flatMap((i) => all.map((j) => `node-${i}>10.0.0.${j}:81`));
-      during(
-        5 + random() * 20,
-        () => {
-          for (const link of links) net.refused.add(link);
-        },
-        () => {
-          for (const link of links) net.refused.delete(link);
-        },
-      );
+      refuse(links, 5 + random() * 20);
     },
     () => {
       const zone = pick(random, ['east', 'west']);
