--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -402,12 +402,12 @@
         const hall = this.hallOf(p.host);
         placedByHall.set(hall, (placedByHall.get(hall) ?? 0) + 1);
       }
-      const waited = Math.max(0, wall - job.at * MS);
+      const waited = Math.max(0, wall - job.at * MS) / this.tuning.waitDoubles;
       out.push({
         id,
         crew: spec.Crew,
         need: { cpus: spec.Cpus, gpus: spec.Gpus, memGb: spec.MemGb },
-        priority: RANK_PRIORITY[spec.Rank] * (1 + waited / this.tuning.waitDoubles),
+        priority: RANK_PRIORITY[spec.Rank] * raise(waited),
         order: job.stamp,
         waiting: count,
         pieces: spec.Pieces,
@@ -472,6 +472,14 @@
   }
 }
 
+/**
+ * What waiting does to a priority, by the time that doubles it. More than in proportion: on a fleet that stays full
+ * best-effort work would otherwise begin only once all normal work has, minutes after its users gave it up.
+ */
+function raise(waited: number): number {
+  return 1 + (waited * (1 + waited)) / 2;
+}
+
 function digits(price: number): number {
   return Math.round(price * 1e4) / 1e4;
 }
