--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -57,7 +57,7 @@
  * Utility is priority less what the demand costs, so a task of twice the size needs twice the priority to rank
  * alike: from `urgent` on the steps are wide enough that one which needs a whole machine still comes first.
  */
-const RANK_PRIORITY: Record<Rank, number> = { best_effort: 1, normal: 2, urgent: 8, prod: 24 };
+export const RANK_PRIORITY: Record<Rank, number> = { best_effort: 1, normal: 2, urgent: 8, prod: 24 };
 /** A machine whose room comes free within this time counts as on its way. */
 const SOON: Micros = 10 * SECOND;
 const SHUN: Micros = 20 * SECOND;
@@ -67,6 +67,8 @@
 const SETTLED: Micros = 45 * SECOND;
 const ALMOST_DONE: Micros = 12 * SECOND;
 const MOST_STOPS = 6;
+/** Waiting for so many times what doubles a priority is long. */
+const LONG_WAIT = 2;
 const KEPT_RESULT = 0.1;
 
 /** Starts in one round at the most, so that its records stay small. */
@@ -473,11 +475,12 @@
 }
 
 /**
- * What waiting does to a priority, by the time that doubles it. More than in proportion: on a fleet that stays full
- * best-effort work would otherwise begin only once all normal work has, minutes after its users gave it up.
+ * What waiting does to a priority, by the time that doubles it: in proportion at first. On a fleet that stays full
+ * best-effort work would then begin only once all normal work has, minutes after its users gave it up, so what has
+ * waited for long rises by the square.
  */
-function raise(waited: number): number {
-  return 1 + (waited * (1 + waited)) / 2;
+export function raise(waited: number): number {
+  return 1 + waited + Math.max(0, waited - LONG_WAIT) ** 2;
 }
 
 function digits(price: number): number {
