One split of addresses, one share of a machine on the move, and a node's part of a budget where it was missed

The HTTP server, the caller and the peer links each cut addresses alike, and the check for a machine on the move repeated which share that is; it now looks at what is seldom true first, since every report passes it. A price step takes its unit from the pool instead of a machine.

--- a/packages/api/index.ts
+++ b/packages/api/index.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import Koa from 'koa';
-import { decode, encode, isFields, MAX_BODY_BYTES } from '#wire';
+import { decode, encode, isFields, MAX_BODY_BYTES, splitAddress } from '#wire';
 import { Connections } from './connections.js';
 
 /** An answer to a user or a worker, before it is put on the wire. */
@@ -117,7 +117,6 @@
 
 /** Serves on the address with at most so many open connections. */
 export function listen(app: Koa, address: string, most: number): Promise<Server> {
-  const cut = address.lastIndexOf(':');
   const handle = app.callback();
   const server = createServer((req, res) => {
     void handle(req, res);
@@ -126,7 +125,7 @@
   server.requestTimeout = 0;
   new Connections(server, most);
   // All workers may come at once, after the other nodes have ended.
-  const at = { port: Number(address.slice(cut + 1)), host: address.slice(0, cut), backlog: most };
+  const at = { ...splitAddress(address), backlog: most };
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(at, () => {
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -1,6 +1,7 @@
 import type { Answer } from '#api';
 import { CloudClient } from '#cloud';
 import {
+  type HostBook,
   type LogId,
   type Logger,
   LogWriter,
@@ -50,8 +51,9 @@
 const WORD_PATIENCE: Micros = SECOND;
 /** For how long what a peer told of itself holds. */
 const PEER_NEWS: Micros = 2 * SECOND;
-/** What the logs and their checkpoints may take of the changes that the state service allows; users' jobs need the rest. */
+/** What the logs may take of the changes that the state service allows; users' jobs need the rest. */
 const LOG_PART = 0.5;
+/** What the leader's checkpoints may take of them. */
 const CHECKPOINT_PART = 0.16;
 /** A round starts no sooner than so many times its planning after the one before. */
 const PLAN_REST = 4;
@@ -98,10 +100,7 @@
     const { incarnation, random } = parts;
     this.membership = new Membership(member, domain, incarnation, store, replica, clock, random, log);
     const { membership } = this;
-    const pace = new Pace(
-      clock,
-      () => (settings.stateWriteRps * LOG_PART) / Math.max(1, replica.members.size),
-    );
+    const pace = new Pace(clock, () => replica.partOf(settings.stateWriteRps * LOG_PART));
     const upkeep = new Pace(clock, () => settings.stateWriteRps * CHECKPOINT_PART);
     this.writer = new LogWriter(store, replica, membership, clock, settings, pace, upkeep, log);
     this.users = new UserDesk(settings, store, replica, clock);
@@ -187,8 +186,8 @@
   private isMoving(host: string): boolean {
     const book = this.replica.ledger.hosts.get(host);
     if (!book || this.replica.state !== 'following') return false;
-    if (book.share === null) return typeof book.to === 'number' && this.ownShares().has(book.to);
-    return this.ownShares().has(book.share) && this.isLettingGo(host);
+    if (book.share !== null && !this.isLettingGo(host)) return false;
+    return this.ownShares().has(shareOf(book) ?? -1);
   }
 
   /** Waits for the next round, which takes in what is known by now. */
@@ -202,7 +201,7 @@
     const { ledger, owners, baton, state } = this.replica;
     const book = ledger.hosts.get(report.Host);
     if (!book || state !== 'following') return unavailable('machine not known');
-    const at = book.share ?? (typeof book.to === 'number' ? book.to : null);
+    const at = shareOf(book);
     const owner = at === null ? undefined : owners.get(at);
     if (!owner) return unavailable('no owner known');
     if (!this.ownShares().has(at ?? -1)) {
@@ -413,3 +412,8 @@
     }
   }
 }
+
+/** The share that a machine belongs to or, between two, is on its way to. */
+function shareOf({ share, to }: HostBook): number | null {
+  return share ?? (typeof to === 'number' ? to : null);
+}
--- a/packages/daemon/links.ts
+++ b/packages/daemon/links.ts
@@ -2,7 +2,7 @@
 import { Transform, type TransformCallback } from 'node:stream';
 import avsc from 'avsc';
 import type { PeerWord, Ping, PingAnswer, PingResult } from '#cluster';
-import type { Micros } from '#wire';
+import { type Micros, splitAddress } from '#wire';
 
 /** What nodes say to each other. It only hastens: nothing is decided by it. */
 const PING = avsc.Type.forSchema({
@@ -70,11 +70,6 @@
   });
 }
 
-function split(address: string): { host: string; port: number } {
-  const cut = address.lastIndexOf(':');
-  return { host: address.slice(0, cut), port: Number(address.slice(cut + 1)) };
-}
-
 /** Answers the pings of the other nodes, and tells them what this one knows. */
 export function servePings(address: string, word: () => PeerWord): Promise<Server> {
   const server = createServer((socket) => {
@@ -83,7 +78,7 @@
       socket.write(frame({ ...message, ...word() }));
     });
   });
-  const { host, port } = split(address);
+  const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
@@ -138,7 +133,7 @@
         this.waiting.done('ok', { baton: message.baton, served: message.served });
       }
     });
-    socket.connect(split(this.endpoint));
+    socket.connect(splitAddress(this.endpoint));
     return socket;
   }
 
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -157,15 +157,14 @@
   }
   for (const pool of pools) {
     const demand = chosen.get(pool) ?? nothing();
-    const machine = pool.machines[0]?.total ?? nothing();
-    const move = (price: number, want: number, room: number, total: number, unit: number): number => {
-      if (total <= 0 || unit <= 0) return 0;
-      const step = (options.step * top) / unit;
+    const move = (price: number, want: number, room: number, total: number): number => {
+      if (total <= 0) return 0;
+      const step = (options.step * top * pool.machines.length) / total;
       return Math.max(0, price + step * Math.min(1, (want - room) / total));
     };
-    pool.price.cpu = move(pool.price.cpu, demand.cpus, pool.room.cpus, pool.total.cpus, machine.cpus);
-    pool.price.gpu = move(pool.price.gpu, demand.gpus, pool.room.gpus, pool.total.gpus, machine.gpus);
-    pool.price.mem = move(pool.price.mem, demand.memGb, pool.room.memGb, pool.total.memGb, machine.memGb);
+    pool.price.cpu = move(pool.price.cpu, demand.cpus, pool.room.cpus, pool.total.cpus);
+    pool.price.gpu = move(pool.price.gpu, demand.gpus, pool.room.gpus, pool.total.gpus);
+    pool.price.mem = move(pool.price.mem, demand.memGb, pool.room.memGb, pool.total.memGb);
   }
 }
 
