--- a/packages/testkit/rules.ts
+++ b/packages/testkit/rules.ts
@@ -2,6 +2,8 @@
 
 /** Once all troubles are over, a question about a job is answered within this time. */
 const ANSWER_WITHIN: Micros = 75 * SECOND;
+/** So long no task waits while a machine that fits has room and its team is under its limit. */
+const IDLE_WITHIN: Micros = 90 * SECOND;
 /** Within this time the largest jobs begin, too. */
 const LARGEST_BEGINS: Micros = 240 * SECOND;
 
@@ -22,6 +24,14 @@
   loaners: boolean;
 }
 
+/** A machine that works, with the room that it really has. */
+export interface FreeRoom {
+  machine: MachineFacts;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+}
+
 interface Running {
   piece: string;
   job: string;
@@ -41,6 +51,8 @@
   answeredAt: Micros;
   /** When the first of its tasks began. */
   beganAt: Micros | null;
+  /** Since when it has waited though a machine had room; null while it does not. */
+  idleSince: Micros | null;
 }
 
 /**
@@ -57,6 +69,10 @@
   private readonly asking = new Set<string>();
   private calmSince: Micros = Infinity;
   starts = 0;
+  /** No rule forbids them within the time to be gone, but they are of no use to anyone. */
+  startsAfterConfirmation = 0;
+  /** Told of what a second trouble may follow upon. */
+  onEvent: (event: 'confirmed' | 'last end') => void = () => undefined;
 
   constructor(
     private readonly limits: ReadonlyMap<string, { cpus: number; gpus: number }>,
@@ -75,6 +91,7 @@
       submittedAt: now,
       answeredAt: now,
       beganAt: null,
+      idleSince: null,
     });
     this.asking.add(spec.Uid);
   }
@@ -112,7 +129,9 @@
     this.running.set(piece, { piece, job: id, machine });
     this.charge(job.spec, 1);
     job.beganAt ??= now;
+    job.idleSince = null;
     this.starts++;
+    if (job.cancelledAt !== null) this.startsAfterConfirmation++;
   }
 
   ended(piece: string, done: boolean): void {
@@ -123,7 +142,48 @@
       this.running.delete(piece);
       this.charge(job.spec, -1);
     }
-    if (done) job?.done.add(Number(piece.slice(cut + 1)));
+    if (!done || !job) return;
+    job.done.add(Number(piece.slice(cut + 1)));
+    if (job.done.size >= job.spec.Pieces) this.onEvent('last end');
+  }
+
+  /** Tasks of the job that are on machines: piece and machine of each. */
+  on(id: string): { piece: string; host: string }[] {
+    const ours = [...this.running.values()].filter((r) => r.job === id);
+    return ours.map((r) => ({ piece: r.piece, host: r.machine.host }));
+  }
+
+  /**
+   * Nothing waits without reason: looked at every so often once the troubles are over, with all machines that
+   * work.
+   */
+  checkIdle(now: Micros, rooms: readonly FreeRoom[]): void {
+    if (now < this.calmSince) return;
+    for (const [id, job] of this.jobs) {
+      const waits = job.accepted && !job.cancelAsked && this.waiting(id, job) > 0;
+      const room =
+        waits && this.isUnderLimit(job.spec) ? rooms.find((r) => this.takes(job.spec, r)) : undefined;
+      if (!room) job.idleSince = null;
+      else if (now > (job.idleSince ??= now) + IDLE_WITHIN) {
+        throw new BrokenRule('left_waiting', `${id} waits while ${room.machine.host} has room`);
+      }
+    }
+  }
+
+  private waiting(id: string, job: JobFacts): number {
+    return job.spec.Pieces - job.done.size - this.on(id).length;
+  }
+
+  private isUnderLimit({ Crew, Cpus, Gpus }: Submission): boolean {
+    const limit = this.limits.get(Crew);
+    const used = this.used.get(Crew) ?? { cpus: 0, gpus: 0 };
+    return !limit || (used.cpus + Cpus <= limit.cpus && used.gpus + Gpus <= limit.gpus);
+  }
+
+  private takes(spec: Submission, { machine, cpus, gpus, memGb }: FreeRoom): boolean {
+    return (
+      spec.Cpus <= cpus && spec.Gpus <= gpus && spec.MemGb <= memGb && this.misplaced(spec, machine) === null
+    );
   }
 
   isDone(piece: string): boolean {
@@ -204,21 +264,25 @@
     if (state === 'withdrawn' && job.cancelledAt === null) {
       job.cancelledAt = now;
       this.cancelled.add(id);
+      this.onEvent('confirmed');
     }
   }
 
   private checkPlace(spec: Submission, piece: string, machine: MachineFacts): void {
-    const bad = (why: string): never => {
-      throw new BrokenRule('wrong_place', `${piece} on ${machine.host}: ${why}`);
-    };
-    if (spec.Builds && !spec.Builds.includes(machine.build)) bad('type');
-    if (spec.Hall !== null && spec.Hall !== machine.hall) bad('zone');
-    if (!spec.Loaners && machine.loaners) bad('spot');
+    const why = this.misplaced(spec, machine);
+    if (why !== null) throw new BrokenRule('wrong_place', `${piece} on ${machine.host}: ${why}`);
+  }
+
+  /** Why one more task of the job must not be on that machine now, or null. */
+  private misplaced(spec: Submission, machine: MachineFacts): string | null {
+    if (spec.Builds && !spec.Builds.includes(machine.build)) return 'type';
+    if (spec.Hall !== null && spec.Hall !== machine.hall) return 'zone';
+    if (!spec.Loaners && machine.loaners) return 'spot';
     const others = [...this.running.values()].filter((r) => r.job === spec.Uid).map((r) => r.machine.hall);
     if (spec.SamePlace && others.some((hall) => hall !== machine.hall))
-      bad('not the zone of its other tasks');
+      return 'not the zone of its other tasks';
     const here = others.filter((hall) => hall === machine.hall).length + 1;
-    if (spec.Scatter && here > Math.ceil(spec.Pieces / 2)) bad('too many in one zone');
+    return spec.Scatter && here > Math.ceil(spec.Pieces / 2) ? 'too many in one zone' : null;
   }
 
   private pieces(crew: string): string {
--- a/packages/testkit/sim-store.ts
+++ b/packages/testkit/sim-store.ts
@@ -19,6 +19,8 @@
   from: string;
   prefix: string;
   after: number;
+  /** When it is answered even without news. */
+  until: Micros;
   answer: (served: Served) => void;
 }
 
@@ -32,6 +34,10 @@
   refused = 0;
   /** Nodes that alone get 503. */
   readonly shunned = new Set<string>();
+  /** Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones. */
+  lateWrites = 0;
+  /** Transactions that were carried out late and changed something. */
+  lateApplied = 0;
   /** Called with every transaction that is applied, before it is. */
   beforeApply: (guards: Fields[], writes: Fields[]) => void = () => undefined;
   /** Called with every transaction that was applied. */
@@ -46,6 +52,7 @@
 
   constructor(
     private readonly clock: SimClock,
+    private readonly random: () => number,
     private readonly limits: StoreLimits,
   ) {
     this.requests.tokens = limits.rps;
@@ -64,6 +71,9 @@
     this.asked++;
     if (!this.admit(this.requests, this.limits.rps, 1)) return { status: 429, body: {} };
     if (this.outage || this.shunned.has(from)) return { status: 503, body: {} };
+    if (path === '/commit' && this.lateWrites > 0 && this.random() < this.lateWrites) {
+      return this.commitLate(isFields(body) ? body : {});
+    }
     return this.route(from, method, path, body);
   };
 
@@ -150,6 +160,15 @@
     return { status: 200, body: { Epoch: this.epoch } };
   }
 
+  private commitLate(body: Fields): Promise<Served> {
+    this.clock.at((2 + this.random() * 10) * SECOND, () => {
+      const before = this.epoch;
+      this.commit(body);
+      if (this.epoch > before) this.lateApplied++;
+    });
+    return new Promise(() => undefined);
+  }
+
   private put(path: string, value: Fields, permit: number | null): void {
     this.rows.set(path, { value, stamp: this.epoch, permit });
     this.remember({ path, value, stamp: this.epoch });
@@ -169,11 +188,8 @@
     const prefix = query.get('Starts') ?? '';
     if (after < this.forgotten) return { status: 410, body: {} };
     return new Promise((resolve) => {
-      const watch: Watch = { from, prefix, after, answer: resolve };
-      this.watches.push(watch);
-      this.clock.at(Number(query.get('BlockMs') ?? 0) * MS, () => {
-        if (this.watches.includes(watch) && !this.outage) this.reply(watch);
-      });
+      const until = this.clock.time + Number(query.get('BlockMs') ?? 0) * MS;
+      this.watches.push({ from, prefix, after, until, answer: resolve });
       this.wakeWatches();
     });
   }
@@ -181,8 +197,10 @@
   private wakeWatches(): void {
     if (this.outage) return;
     for (const w of [...this.watches]) {
+      // A node that alone is refused waits as all do in an outage, also beyond the time it asked for.
       if (this.shunned.has(w.from)) continue;
-      if (this.history.some((c) => c.stamp > w.after && c.path.startsWith(w.prefix))) this.reply(w);
+      if (this.clock.time >= w.until) this.reply(w);
+      else if (this.history.some((c) => c.stamp > w.after && c.path.startsWith(w.prefix))) this.reply(w);
     }
   }
 
@@ -209,6 +227,7 @@
     if (!this.outage) {
       for (const [id, g] of this.grants) if (g.until < this.clock.time) this.expire(id);
     }
+    this.wakeWatches();
     this.clock.at(50 * MS, () => {
       this.sweep();
     });
--- a/packages/testkit/sim-worker.ts
+++ b/packages/testkit/sim-worker.ts
@@ -70,6 +70,15 @@
     this.tick();
   }
 
+  get isFaulty(): boolean {
+    return this.world.faulty;
+  }
+
+  /** The node that it reports to, by its place among them. */
+  get reportsTo(): number {
+    return this.node;
+  }
+
   get taskCount(): number {
     return this.tasks.size;
   }
@@ -239,6 +248,12 @@
 
   /** Room for all that is on it, the task just put there included. */
   private hasRoom(): boolean {
+    const left = this.room();
+    return left.cpus > -1e-6 && left.gpus > -1e-6 && left.memGb > -1e-6;
+  }
+
+  /** What its tasks leave of the machine. */
+  room(): { cpus: number; gpus: number; memGb: number } {
     const left = { ...this.world.capacity };
     for (const t of this.tasks.values()) {
       if (t.status === 'exited') continue;
@@ -247,6 +262,6 @@
       left.gpus -= other?.Gpus ?? 0;
       left.memGb -= other?.MemGb ?? 0;
     }
-    return left.cpus > -1e-6 && left.gpus > -1e-6 && left.memGb > -1e-6;
+    return left;
   }
 }
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -3,6 +3,7 @@
   CHECKPOINT_HEAD,
   chunkKey,
   CHUNKS,
+  LEAD,
   type Logger,
   logOfKey,
   LOGS,
@@ -12,6 +13,7 @@
 import { type Settings, standardTuning } from '#settings';
 import {
   type Fields,
+  isFields,
   type JobStatus,
   type MachineType,
   type Micros,
@@ -20,7 +22,7 @@
   type Submission,
 } from '#wire';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { BrokenRule, RuleChecker, sampleJob } from './rules.js';
+import { BrokenRule, type FreeRoom, RuleChecker, sampleJob } from './rules.js';
 import { type Gate, SimClock } from './sim-clock.js';
 import { type CloudHost, SimCloud } from './sim-cloud.js';
 import { SimNet } from './sim-net.js';
@@ -89,6 +91,9 @@
   thaws: Micros;
 }
 
+/** A withdrawal was confirmed, a job's last task ended, the lead changed, an owner let a machine go. */
+export type WorldEvent = 'confirmed' | 'last end' | 'lead' | 'release';
+
 export interface WorldOptions {
   seed: number;
   nodes?: number;
@@ -98,6 +103,8 @@
   types?: readonly MachineType[];
   /** How many machines a type, zone and kind holds. */
   capacity?: number;
+  /** `cancel_s` as users were promised it, where the controllers are to be told another. */
+  promisedCancel?: Micros;
 }
 
 const SILENT: Logger = { debug: () => undefined, info: () => undefined, error: () => undefined };
@@ -114,11 +121,14 @@
   readonly specs = new Map<string, Submission>();
   /** Answers the users got, by job: the last state each was told. */
   readonly told = new Map<string, JobStatus>();
+  /** Told of what a second trouble may follow upon. */
+  onEvent: (event: WorldEvent) => void = () => undefined;
   private readonly nodes: Node[] = [];
   private readonly renewals = new Map<number, number>();
   private readonly types: readonly MachineType[];
   private starts = 0;
   private faultyShare = 0;
+  private nextIdleCheck: Micros = 0;
   /** The first thing that went wrong in a callback; thrown by {@link run}. */
   private broken: unknown = null;
 
@@ -128,7 +138,7 @@
     this.types = options.types ?? SAMPLE_TYPES;
     const settings = sampleSettings(0, 1, options.settings);
     this.net = new SimNet(this.clock, this.random);
-    this.store = new SimStore(this.clock, {
+    this.store = new SimStore(this.clock, this.random, {
       rps: settings.stateRps,
       writeRps: settings.stateWriteRps,
       txnOps: settings.txnOps,
@@ -139,9 +149,13 @@
     };
     this.store.afterApply = (writes) => {
       this.checkCheckpoint(writes);
+      this.tellOf(writes);
     };
     const limits = new Map(settings.teams.map((t) => [t.name, { cpus: t.cpusMax, gpus: t.gpusMax }]));
-    this.rules = new RuleChecker(limits, settings.cancel);
+    this.rules = new RuleChecker(limits, options.promisedCancel ?? settings.cancel);
+    this.rules.onEvent = (event) => {
+      this.onEvent(event);
+    };
     this.cloud = new SimCloud(
       this.clock,
       this.random,
@@ -266,26 +280,43 @@
     await this.clock.run(this.clock.time + duration, () => {
       if (this.broken !== null) throw this.broken;
       this.rules.check(this.clock.time);
+      if (this.clock.time < this.nextIdleCheck) return;
+      this.nextIdleCheck = this.clock.time + SECOND;
+      this.rules.checkIdle(this.clock.time, this.freeRooms());
     });
   }
 
-  private async userLife(spec: Submission, cancelAfter: Micros | null): Promise<void> {
-    const call = this.net.caller(`user-${spec.Uid}`, null, (step) => {
+  private freeRooms(): FreeRoom[] {
+    const working = [...this.workers.values()].filter((w) => w.alive && !w.isFaulty && w.recallS === null);
+    return working.map((w) => ({ machine: w.machine, ...w.room() }));
+  }
+
+  /** Asks for the job's withdrawal at one node, once; the status that the user is told. */
+  async withdraw(id: string, node: number): Promise<number> {
+    this.rules.cancelAsked(id);
+    return this.ask(id, node, 'POST', `/submissions/${id}/withdraw`);
+  }
+
+  /** One request of a job's user, once; 0 if no answer comes in time. */
+  async ask(id: string, node: number, method: 'GET' | 'POST', path: string, body?: unknown): Promise<number> {
+    const call = this.net.caller(`user-${id}`, null, (step) => {
       step();
     });
+    const reply = await call(`10.0.0.${node}:80`, method, path, body, 2 * SECOND).catch(() => null);
+    if (!reply) return 0;
+    const state = (reply.body['Status'] as JobStatus | undefined) ?? null;
+    this.guarded(() => {
+      this.rules.told(id, reply.status, state, this.clock.time);
+    });
+    if (state) this.told.set(id, state);
+    return reply.status;
+  }
+
+  private async userLife(spec: Submission, cancelAfter: Micros | null): Promise<void> {
     const began = this.clock.time;
     const pause = (d: Micros): Promise<void> => new Promise((done) => this.clock.at(d, done));
-    const ask = async (method: 'GET' | 'POST', path: string, body?: unknown): Promise<number> => {
-      const endpoint = `10.0.0.${Math.floor(this.random() * this.nodes.length)}:80`;
-      const reply = await call(endpoint, method, path, body, 2 * SECOND).catch(() => null);
-      if (!reply) return 0;
-      const state = (reply.body['Status'] as JobStatus | undefined) ?? null;
-      this.guarded(() => {
-        this.rules.told(spec.Uid, reply.status, state, this.clock.time);
-      });
-      if (state) this.told.set(spec.Uid, state);
-      return reply.status;
-    };
+    const ask = (method: 'GET' | 'POST', path: string, body?: unknown): Promise<number> =>
+      this.ask(spec.Uid, Math.floor(this.random() * this.nodes.length), method, path, body);
     for (;;) {
       const status = await ask('POST', '/submissions', spec);
       if (status === 200 || status === 201) break;
@@ -352,6 +383,15 @@
     }
   }
 
+  private tellOf(writes: Fields[]): void {
+    for (const w of writes) {
+      const path = String(w['Set'] ?? '');
+      if (path === LEAD) this.onEvent('lead');
+      else if (path.startsWith(LOGS) && isFields(w['V']) && w['V']['Releases'] !== undefined)
+        this.onEvent('release');
+    }
+  }
+
   /** The present checkpoint can be read whole at every moment. */
   private checkCheckpoint(writes: Fields[]): void {
     const paths = writes.map((w) => String(w['Set'] ?? w['Remove']));
