--- a/packages/testkit/rules.test.ts
+++ b/packages/testkit/rules.test.ts
@@ -94,6 +94,38 @@
     },
   ],
   ['went_back', () => checker().told('j-1', 200, 'withdrawn', 1)],
+  [
+    'went_back',
+    () => {
+      const rules = checker();
+      rules.cancelAsked('j-1');
+      rules.told('j-1', 200, 'withdrawn', 2, 1);
+      // Asked at the very moment at which the end was told, and after it, older answers are not allowed.
+      rules.told('j-1', 200, 'pending', 3, 2);
+    },
+  ],
+  [
+    'went_back',
+    () => {
+      const rules = checker();
+      rules.cancelAsked('j-1');
+      rules.told('j-1', 200, 'withdrawn', 2, 1);
+      // Two ends can't both be true, whichever was asked for first.
+      rules.ended('j-1/0', true);
+      rules.ended('j-1/1', true);
+      rules.ended('j-1/2', true);
+      rules.told('j-1', 200, 'done', 3, 1);
+    },
+  ],
+  [
+    'left_waiting',
+    () => {
+      const rules = checker();
+      rules.troublesOver(0);
+      const room = { machine: east, cpus: 2, gpus: 0, memGb: 4 };
+      for (const s of [1, 50, 90, 92]) rules.checkIdle(s * SECOND, [room]);
+    },
+  ],
 ];
 
 for (const [rule, step] of BREAKS) {
@@ -102,6 +134,26 @@
   });
 }
 
+test('an answer that was asked for before the end was told may be older, and reach its user later', () => {
+  const rules = checker();
+  rules.cancelAsked('j-1');
+  rules.told('j-1', 200, 'withdrawn', 5, 3);
+  rules.told('j-1', 200, 'running', 6, 4);
+});
+
+test('waiting has a reason: no room that fits, the limit of the team, or trouble', () => {
+  const waits = (change: Parameters<typeof sampleJob>[1], cpus: number, calm = true): void => {
+    const rules = checker(change);
+    if (calm) rules.troublesOver(0);
+    const room = { machine: east, cpus, gpus: 0, memGb: 16 };
+    for (let s = 0; s < 200; s += 50) rules.checkIdle(s * SECOND, [room]);
+  };
+  waits({ Cpus: 4 }, 2);
+  waits({ Cpus: 8 }, 12);
+  waits({ Hall: 'west' }, 4);
+  waits({}, 4, false);
+});
+
 test('the checker lets a plain life of a job pass', () => {
   const rules = checker({ Pieces: 2 });
   for (const i of [0, 1]) rules.began(`j-1/${i}`, east, 1);
--- a/packages/testkit/rules.ts
+++ b/packages/testkit/rules.ts
@@ -46,6 +46,8 @@
   cancelAsked: boolean;
   /** When its user was first told that it is cancelled. */
   cancelledAt: Micros | null;
+  /** When its user was first told of its end. */
+  finalAt: Micros | null;
   submittedAt: Micros;
   /** When a question about it was last answered. */
   answeredAt: Micros;
@@ -88,6 +90,7 @@
       told: null,
       cancelAsked: false,
       cancelledAt: null,
+      finalAt: null,
       submittedAt: now,
       answeredAt: now,
       beganAt: null,
@@ -101,13 +104,15 @@
     if (job) job.cancelAsked = true;
   }
 
-  /** A user got this answer about this job. `sentAt` orders answers: an older request proves nothing newer. */
-  told(id: string, status: number, state: JobStatus | null, now: Micros): void {
+  /** A user got this answer about this job, to a request sent at `sentAt`. */
+  told(id: string, status: number, state: JobStatus | null, now: Micros, sentAt: Micros = now): void {
     const job = this.jobs.get(id);
     if (status === 200 || status === 201) {
       if (!job) throw new BrokenRule('invented', `${id} is answered ${status}`);
       job.accepted = true;
       job.answeredAt = now;
+      // Asked before the end was told, an answer may have been given before it, too, and overtaken on its way.
+      if (sentAt < (job.finalAt ?? -Infinity) && !isFinal(state)) return;
       this.toldState(id, job, state, now);
     } else if (job?.accepted && (status === 404 || status === 400 || status === 422)) {
       throw new BrokenRule('forgotten', `${id} is answered ${status}`);
@@ -186,6 +191,12 @@
     );
   }
 
+  /** All tasks of the job are done. */
+  isComplete(id: string): boolean {
+    const job = this.jobs.get(id);
+    return job !== undefined && job.done.size >= job.spec.Pieces;
+  }
+
   isDone(piece: string): boolean {
     const cut = piece.lastIndexOf('/');
     return this.jobs.get(piece.slice(0, cut))?.done.has(Number(piece.slice(cut + 1))) ?? false;
@@ -261,6 +272,7 @@
     if (isFinal(job.told) && state !== job.told)
       throw new BrokenRule('went_back', `${id}: ${job.told}, ${state}`);
     job.told = state;
+    if (isFinal(state)) job.finalAt ??= now;
     if (state === 'withdrawn' && job.cancelledAt === null) {
       job.cancelledAt = now;
       this.cancelled.add(id);
--- a/packages/testkit/sim-net.ts
+++ b/packages/testkit/sim-net.ts
@@ -41,6 +41,8 @@
   private readonly isolated = new Map<string, 'hold' | 'reset'>();
   /** Parties whose requests arrive while no answer comes back. */
   readonly mute = new Set<string>();
+  /** Parties whose requests are held on the way, and what is held. */
+  private readonly held = new Map<string, (() => void)[]>();
   /** Connections that are refused: `from>endpoint`. */
   readonly refused = new Set<string>();
   /** Parties and endpoints that take so many times as long. */
@@ -73,6 +75,19 @@
     else this.isolated.set(zone, mode);
   }
 
+  /** Holds what this party sends until {@link release}: its sender has mostly given up by then. */
+  hold(from: string): void {
+    if (!this.held.has(from)) this.held.set(from, []);
+  }
+
+  /** Delivers what was held, in order; returns how many requests that were. */
+  release(from: string): number {
+    const requests = this.held.get(from) ?? [];
+    this.held.delete(from);
+    for (const deliver of requests) deliver();
+    return requests.length;
+  }
+
   /** A caller for one party; what comes back reaches it through the gate. */
   caller(from: string, place: string | null, gate: Gate): Caller {
     return (endpoint, method, path, body, timeout) =>
@@ -110,6 +125,13 @@
     body: unknown,
     answer: (served: Served | null) => void,
   ): void {
+    const queue = this.held.get(from);
+    if (queue) {
+      queue.push(() => {
+        this.carry(from, place, endpoint, method, path, body, answer);
+      });
+      return;
+    }
     const there = this.handlers.get(endpoint);
     if (this.refused.has(`${from}>${endpoint}`) || this.isReset(place, there?.place ?? null)) {
       this.clock.at(this.latency(), () => {
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -302,13 +302,14 @@
     const call = this.net.caller(`user-${id}`, null, (step) => {
       step();
     });
+    const sentAt = this.clock.time;
     const reply = await call(`10.0.0.${node}:80`, method, path, body, 2 * SECOND).catch(() => null);
     if (!reply) return 0;
     const state = (reply.body['Status'] as JobStatus | undefined) ?? null;
     this.guarded(() => {
-      this.rules.told(id, reply.status, state, this.clock.time);
+      this.rules.told(id, reply.status, state, this.clock.time, sentAt);
     });
-    if (state) this.told.set(id, state);
+    if (state && !['done', 'withdrawn'].includes(this.told.get(id) ?? '')) this.told.set(id, state);
     return reply.status;
   }
 
