--- a/packages/settings/index.ts
+++ b/packages/settings/index.ts
@@ -52,7 +52,9 @@
 
 export interface Team {
   name: string;
+  /** Guaranteed; 0 for none. */
   cpus: number;
+  /** At most; Infinity for no limit. */
   cpusMax: number;
   gpus: number;
   gpusMax: number;
@@ -123,9 +125,9 @@
     teams: facts.teams.map((t) => ({
       name: t.name,
       cpus: t.cpus,
-      cpusMax: t.cpus_max,
+      cpusMax: isGuest(t) ? Infinity : t.cpus_max,
       gpus: t.gpus,
-      gpusMax: t.gpus_max,
+      gpusMax: isGuest(t) ? Infinity : t.gpus_max,
     })),
     objectives: facts.objectives.map((o) => ({
       kind: o.kind,
@@ -145,6 +147,14 @@
   };
 }
 
+/**
+ * "0 means none": a guest team has neither a guarantee nor a limit. Where CPUs are limited, no GPUs are allowed
+ * by 0 of them: a limit kept too strictly breaks no rule.
+ */
+function isGuest(team: { cpus_max: number; gpus_max: number }): boolean {
+  return team.cpus_max === 0 && team.gpus_max === 0;
+}
+
 export function loadSettings(file: string): Settings {
   let toml: string;
   try {
--- a/packages/settings/settings.test.ts
+++ b/packages/settings/settings.test.ts
@@ -50,6 +50,12 @@
   assert.deepEqual(settings.teams[0], { name: 'pricing', cpus: 32, cpusMax: 104, gpus: 0, gpusMax: 0 });
 });
 
+test('a guest team has neither a guarantee nor a limit', () => {
+  const guest = TOML.replace('cpus = 32.0\ncpus_max = 104.0', 'cpus = 0.0\ncpus_max = 0.0');
+  const none = { cpus: 0, cpusMax: Infinity, gpus: 0, gpusMax: Infinity };
+  assert.deepEqual(parseSettings(guest).teams[0], { name: 'pricing', ...none });
+});
+
 test('a field that is missing or wrong is named', () => {
   const cases: [RegExp, string, string][] = [
     [/facts\.workers\.lease_s/, 'lease_s = 22.0', 'lease_s = "long"'],
