--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -22,7 +22,7 @@
 } from './keys.js';
 import type { CheckpointRow } from './checkpoint.js';
 import { Ledger, type PlacementRecord, type Positions } from './ledger.js';
-import { type Change, Pace, type Row, type StoreClient, StoreError } from '#store';
+import { type Change, Meter, Pace, type Row, type StoreClient, StoreError } from '#store';
 import {
   type Clock,
   type Count,
@@ -84,6 +84,8 @@
 export class Replica {
   ledger = new Ledger();
   readonly jobs = new Map<string, LiveJob>();
+  /** Jobs that are over and still lie among the live ones. */
+  readonly ended = new Map<string, { status: Final; stamp: number }>();
   /** Machine types as last read from the cloud by a leader: known even while the cloud is down. */
   readonly types = new Map<string, MachineType>();
   lead: Lead | null = null;
@@ -103,6 +105,7 @@
   private waiting: { epoch: number; done: (ok: boolean) => void }[] = [];
   private nextBarrier: Promise<boolean> | null = null;
   private lastBarrier: Micros = -Infinity;
+  private readonly changes: Meter;
   private readonly follows: Pace;
   private readonly barriers: Pace;
 
@@ -113,6 +116,7 @@
     /** Requests a second that the state service allows all nodes. */
     stateRps: number,
   ) {
+    this.changes = new Meter(clock);
     this.follows = new Pace(clock, () => this.partOf(stateRps * FOLLOW_PART));
     this.barriers = new Pace(clock, () => this.partOf(stateRps * BARRIER_PART));
   }
@@ -122,6 +126,11 @@
     return total / Math.max(1, this.members.size);
   }
 
+  /** Changes a second by all nodes, as the watch has shown them lately. */
+  get changeRate(): number {
+    return this.changes.rate();
+  }
+
   onChange(listener: () => void): void {
     this.listeners.push(listener);
   }
@@ -184,16 +193,16 @@
 
   /** Final state of a job that is not live. Only final states are kept, since those never change. */
   async final(id: string): Promise<Final | null> {
-    const known = this.finals.get(id);
+    const known = this.knownFinal(id);
     if (known) return known;
     const { row } = await this.store.get(overKey(id));
     if (!row) return null;
     this.keepFinal(id, row.value);
-    return this.finals.get(id) ?? null;
+    return this.knownFinal(id);
   }
 
   knownFinal(id: string): Final | null {
-    return this.finals.get(id) ?? null;
+    return this.ended.get(id)?.status ?? this.finals.get(id) ?? null;
   }
 
   /** Resolves when the given epoch is applied, or false after the timeout. */
@@ -258,6 +267,7 @@
     }
     this.ledger = new Ledger();
     this.jobs.clear();
+    this.ended.clear();
     this.types.clear();
     this.logRows.clear();
     this.chunkRows.clear();
@@ -303,6 +313,7 @@
       this.enter('loading');
       return;
     }
+    this.changes.add(answer.news.length);
     for (const change of answer.news.sort(inOrder)) this.take(change);
     this.applied = Math.max(this.applied, answer.epoch);
     if (this.state === 'following') this.announce();
@@ -362,18 +373,19 @@
     return true;
   }
 
-  private takeJob(id: string, change: Change): void {
-    if (change.value) {
-      const spec = change.value['Job'] as Submission;
-      this.jobs.set(id, { spec, at: Number(change.value['At']), stamp: change.stamp });
-    } else {
-      this.jobs.delete(id);
-      this.ledger.drop(id);
+  private takeJob(id: string, { value, stamp }: Change): void {
+    this.ended.delete(id);
+    if (value && value['Status'] === undefined) {
+      this.jobs.set(id, { spec: value['Job'] as Submission, at: Number(value['At']), stamp });
+      return;
     }
+    this.jobs.delete(id);
+    this.ledger.drop(id);
+    if (value) this.ended.set(id, { status: finalOf(value), stamp });
   }
 
   private keepFinal(id: string, value: Fields): void {
-    this.finals.set(id, value['Status'] === 'done' ? 'done' : 'withdrawn');
+    this.finals.set(id, finalOf(value));
     if (this.finals.size > RECENT_FINALS) {
       const oldest = this.finals.keys().next().value;
       if (oldest !== undefined) this.finals.delete(oldest);
@@ -386,6 +398,10 @@
   return x.stamp - y.stamp || Number(x.value?.['Nth'] ?? 0) - Number(y.value?.['Nth'] ?? 0);
 }
 
+function finalOf(value: Fields): Final {
+  return value['Status'] === 'done' ? 'done' : 'withdrawn';
+}
+
 function leadOf(value: Fields, stamp: number): Lead {
   return { member: String(value['Member']), nonce: String(value['Nonce']), stamp };
 }
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -2,7 +2,6 @@
   CHECKPOINT_HEAD,
   checkpointId,
   chunkKey,
-  JOBS,
   jobKey,
   LEAD,
   type LogId,
@@ -95,22 +94,17 @@
     return true;
   }
 
-  /** Moves jobs whose tasks are all done from the live to the final ones. */
+  /** Ends jobs whose tasks are all done. */
   async finish(jobs: [string, LiveJob][], shares: readonly LogId[]): Promise<void> {
-    const perTxn = Math.max(1, Math.floor(this.limits.txnOps / 2));
+    const perTxn = this.limits.txnOps;
     for (let i = 0; i < jobs.length; i += perTxn) {
       const guards = this.ownerships(new Set(shares));
       if (!guards) return;
       const some = jobs.slice(i, i + perTxn);
-      // A withdrawal that came first has removed the key: then the job stays withdrawn.
+      // A withdrawal that came first has changed the key: then the job stays withdrawn.
       for (const [id, job] of some) guards.push({ path: jobKey(id), stamp: job.stamp });
-      if (
-        !(await this.settle(
-          guards,
-          some.flatMap(([id]) => overWrites(id, 'done')),
-        ))
-      )
-        return;
+      const writes = some.map(([id]) => endWrite(id, 'done'));
+      if (!(await this.settle(guards, writes))) return;
     }
   }
 
@@ -121,6 +115,7 @@
     try {
       const due = Math.max(CHECKPOINT_EVERY, RECORDS_PER_CHUNK * this.replica.checkpointChunks);
       if (this.replica.sinceCheckpoint >= due) await this.checkpoint();
+      else await this.putAway();
       const litter = this.replica.litter().slice(0, this.limits.txnOps);
       const guards = this.ownerships(new Set<LogId>(['lead']));
       if (guards && litter.length > 0) {
@@ -136,6 +131,22 @@
     }
   }
 
+  /** Takes ended jobs from among the live ones, out of what checkpoints leave of their part. */
+  private async putAway(): Promise<void> {
+    const lead = this.membership.lead();
+    const ended = [...this.replica.ended].slice(0, Math.max(1, Math.floor(this.limits.txnOps / 2)));
+    if (!lead || ended.length === 0 || this.upkeep.wait() > 0) return;
+    const guards: Guard[] = [{ path: LEAD, stamp: lead.stamp }];
+    const writes: Write[] = [];
+    for (const [id, { status, stamp }] of ended) {
+      guards.push({ path: jobKey(id), stamp });
+      writes.push({ remove: jobKey(id) }, { set: overKey(id), value: { Status: status } });
+    }
+    this.upkeep.take(writes.length);
+    const result = await this.store.commit(guards, writes);
+    if (result.kind === 'applied') await this.replica.reach(result.epoch, SECOND);
+  }
+
   private async checkpoint(): Promise<void> {
     const { ledger, jobs } = this.replica;
     const positions = ledger.allPositions();
@@ -205,8 +216,12 @@
   }
 }
 
-export function overWrites(id: string, status: Final): Write[] {
-  return [{ remove: JOBS + id }, { set: overKey(id), value: { Status: status } }];
+/**
+ * Ends a job with a single change, in the place where it lies: its end must not wait behind the changes that putting
+ * it away takes. From then on the key says nothing but how it ended.
+ */
+export function endWrite(id: string, status: Final): Write {
+  return { set: jobKey(id), value: { Status: status } };
 }
 
 /** Fields of a draft that are plain lists, in the order in which a cut draft carries them. */
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -53,6 +53,9 @@
 const PEER_NEWS: Micros = 2 * SECOND;
 /** What the logs may take of the changes that the state service allows; users' jobs need the rest. */
 const LOG_PART = 0.5;
+/** A node takes what others leave up to so many times its even part, and while so much of all is not in use. */
+const MOST_LOG_PARTS = 2.5;
+const BUSY_PART = 0.8;
 /** What the leader's checkpoints may take of them. */
 const CHECKPOINT_PART = 0.16;
 /** A round starts no sooner than so many times its planning after the one before. */
@@ -101,7 +104,7 @@
     const { incarnation, random } = parts;
     this.membership = new Membership(member, domain, incarnation, store, replica, clock, random, log);
     const { membership } = this;
-    const pace = new Pace(clock, () => replica.partOf(settings.stateWriteRps * LOG_PART));
+    const pace = new Pace(clock, (used) => this.logRate(used));
     const upkeep = new Pace(clock, () => settings.stateWriteRps * CHECKPOINT_PART);
     this.writer = new LogWriter(store, replica, membership, clock, settings, pace, upkeep, log);
     this.users = new UserDesk(settings, store, replica, clock);
@@ -255,6 +258,20 @@
     if (baton > this.heard.baton) this.heard = { baton, since: this.clock.now() };
   }
 
+  /**
+   * Changes a second for this node's logs: its even part of what they may take, or more while the other nodes leave
+   * theirs unused, as where one team's share has hundreds of small jobs and the others' next to none. All that the
+   * watch shows counts, users' jobs included, and only a state that is known to be recent tells of it.
+   */
+  private logRate(own: number): number {
+    const { replica } = this;
+    const { stateWriteRps } = this.parts.settings;
+    const even = replica.partOf(stateWriteRps * LOG_PART);
+    if (!this.isServed()) return even;
+    const others = Math.max(0, replica.changeRate - own);
+    return Math.max(even, Math.min(MOST_LOG_PARTS * even, stateWriteRps * BUSY_PART - others));
+  }
+
   private ownShares(): Map<number, ShareOwner> {
     return this.membership.shares();
   }
--- a/packages/daemon/users.ts
+++ b/packages/daemon/users.ts
@@ -1,5 +1,5 @@
 import type { Answer } from '#api';
-import { type Final, jobKey, overKey, overWrites, type Replica } from '#cluster';
+import { endWrite, type Final, jobKey, overKey, type Replica } from '#cluster';
 import { fits } from '#pricing';
 import type { Settings } from '#settings';
 import type { StoreClient } from '#store';
@@ -79,7 +79,7 @@
           { path: jobKey(id), stamp: live.stamp },
           { path: overKey(id), stamp: 0 },
         ],
-        overWrites(id, 'withdrawn'),
+        [endWrite(id, 'withdrawn')],
       );
       if (result.kind === 'applied') return { status: 200, body: { Uid: id, Status: 'withdrawn' } };
       if (result.kind === 'not_executed' && result.status !== 429) return AWAY;
--- a/packages/store/pace.ts
+++ b/packages/store/pace.ts
@@ -1,5 +1,30 @@
 import { type Clock, type Micros, SECOND } from '#wire';
 
+const WINDOW: Micros = 3 * SECOND;
+
+/** How much there has been a second, over the last few. */
+export class Meter {
+  private readonly counts: { at: Micros; count: number }[] = [];
+  private sum = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  add(count: number): void {
+    if (count === 0) return;
+    this.counts.push({ at: this.clock.now(), count });
+    this.sum += count;
+  }
+
+  rate(): number {
+    const from = this.clock.now() - WINDOW;
+    for (let first = this.counts[0]; first && first.at < from; first = this.counts[0]) {
+      this.sum -= first.count;
+      this.counts.shift();
+    }
+    return (this.sum * SECOND) / WINDOW;
+  }
+}
+
 /**
  * Keeps a kind of request within its part of what the state service allows: tokens come at a rate, and up to a
  * second's worth of them is saved for a burst. A large commit may run into debt that the next one waits for.
@@ -7,19 +32,22 @@
 export class Pace {
   private tokens: number;
   private at: Micros;
+  private readonly taken: Meter;
 
   constructor(
     private readonly clock: Clock,
-    /** Tokens a second at present: nodes that are gone leave their part to the others. */
-    private readonly rate: () => number,
+    /** Tokens a second at present, given what was taken a second lately. */
+    private readonly rateFor: (used: number) => number,
   ) {
-    this.tokens = rate();
+    this.taken = new Meter(clock);
+    this.tokens = this.rate();
     this.at = clock.now();
   }
 
   take(count: number): void {
     this.fill();
     this.tokens -= count;
+    this.taken.add(count);
   }
 
   /** Time until a token is to be had. */
@@ -28,6 +56,10 @@
     return this.tokens >= 1 ? 0 : Math.ceil(((1 - this.tokens) / this.rate()) * SECOND);
   }
 
+  private rate(): number {
+    return this.rateFor(this.taken.rate());
+  }
+
   private fill(): void {
     const now = this.clock.now();
     const rate = this.rate();
