--- a/packages/testkit/chaos.test.ts
+++ b/packages/testkit/chaos.test.ts
@@ -320,8 +320,9 @@
 const [FROM, RUNS] = [Number(process.env['CHAOS_FROM'] ?? 1), Number(process.env['CHAOS_RUNS'] ?? 12)];
 const met = new Map<WorldEvent, number>();
 for (let seed = FROM; seed < FROM + RUNS; seed++) {
-  test(`rules hold and work ends under random troubles, seed ${seed}`, async () => {
+  test(`rules hold and work ends under random troubles, seed ${seed}`, async (t) => {
     const world = await chaos(seed, met);
+    t.diagnostic(`${world.rules.startsAfterConfirmation} of ${world.rules.starts} after a confirmation`);
     assert.ok(world.rules.starts > 20, `only ${world.rules.starts} starts`);
     assert.deepEqual(world.rules.unfinished(), []);
     assert.deepEqual(world.rules.neglected(), []);
--- /dev/null
+++ b/packages/testkit/known-red.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { judge, parseKnownRed } from './known-red.js';
+
+const KNOWN = parseKnownRed('a task ends | the end is late | issue 14\n');
+const ok = { name: 'another', passed: true };
+
+test('a listed test may fail or pass, and is told of either way', () => {
+  const failed = judge(KNOWN, [ok, { name: 'a task ends', passed: false }]);
+  assert.equal(failed.passed, true);
+  assert.match(failed.lines.join(), /known red, failed: a task ends \(the end is late; issue 14\)/);
+  const passed = judge(KNOWN, [ok, { name: 'a task ends', passed: true }]);
+  assert.equal(passed.passed, true);
+  assert.match(passed.lines.join(), /known red, passed/);
+});
+
+test('any other failure, a line that names no test, and a run without tests fail', () => {
+  assert.equal(
+    judge(KNOWN, [ok, { name: 'a task ends', passed: true }, { ...ok, passed: false }]).passed,
+    false,
+  );
+  assert.equal(judge(KNOWN, [ok]).passed, false);
+  assert.equal(judge([], []).passed, false);
+  assert.equal(judge([], [ok]).passed, true);
+});
+
+test('a fourth line, and one that is not whole, are refused', () => {
+  assert.throws(() => parseKnownRed('a | b | c\n'.repeat(4)), /4 lines, 3 at most/);
+  assert.equal(parseKnownRed('a | b | c\n'.repeat(3)).length, 3);
+  for (const bad of ['a | b\n', 'a |  | c\n', 'a | b | c | d\n'])
+    assert.throws(() => parseKnownRed(bad), /line 1/);
+  assert.deepEqual(parseKnownRed('\n'), []);
+});
--- /dev/null
+++ b/packages/testkit/known-red.ts
@@ -0,0 +1,51 @@
+/** A test that fails for a real fault which is still to be mended, as `KNOWN-RED.txt` lists it. */
+export interface KnownRed {
+  test: string;
+  cause: string;
+  issue: string;
+}
+
+export interface TestResult {
+  name: string;
+  passed: boolean;
+}
+
+export interface Verdict {
+  passed: boolean;
+  /** What there is to say of the list, a line each. */
+  lines: string[];
+}
+
+const MOST = 3;
+
+/** One test a line: its name, the cause and the issue, with ` | ` between them. Throws on anything else. */
+export function parseKnownRed(text: string): KnownRed[] {
+  const rows = text.split('\n').filter((line) => line.trim() !== '');
+  if (rows.length > MOST) throw new Error(`KNOWN-RED.txt: ${rows.length} lines, ${MOST} at most`);
+  return rows.map((row, i) => {
+    const [test, cause, issue, ...rest] = row.split(' | ').map((part) => part.trim());
+    if (!test || !cause || !issue || rest.length > 0) {
+      throw new Error(`KNOWN-RED.txt: line ${i + 1} is not: test | cause | issue`);
+    }
+    return { test, cause, issue };
+  });
+}
+
+/** Passed if nothing failed but what is listed, and each line names a test that was run. */
+export function judge(known: readonly KnownRed[], results: readonly TestResult[]): Verdict {
+  const lines: string[] = [];
+  let passed = results.length > 0;
+  if (!passed) lines.push('no test was run');
+  for (const { test, cause, issue } of known) {
+    const ours = results.filter((r) => r.name === test);
+    if (ours.length === 0) passed = false;
+    const state = ours.length === 0 ? 'names no test' : ours.some((r) => !r.passed) ? 'failed' : 'passed';
+    lines.push(`known red, ${state}: ${test} (${cause}; ${issue})`);
+  }
+  const listed = new Set(known.map((k) => k.test));
+  for (const { name } of results.filter((r) => !r.passed && !listed.has(r.name))) {
+    passed = false;
+    lines.push(`failed, and not listed: ${name}`);
+  }
+  return { passed, lines };
+}
