--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -84,6 +84,8 @@
 
   private readonly options: RoundOptions;
   private readonly shares: ReadonlyMap<string, number>;
+  /** Teams without a guarantee. */
+  private readonly guests: ReadonlySet<string>;
   /** By class: its aims that name a time. */
   private readonly objectives = new Map<string, Objective[]>();
 
@@ -98,6 +100,7 @@
   ) {
     this.options = { ...tuning, mostStarts: MOST_STARTS };
     this.shares = new Map(settings.teams.map((t, i) => [t.name, i % settings.initialSize]));
+    this.guests = new Set(settings.teams.filter((t) => t.cpus === 0 && t.gpus === 0).map((t) => t.name));
     for (const o of settings.objectives) {
       if (o.lane === null || o.within === null) continue;
       this.objectives.set(o.lane, [...(this.objectives.get(o.lane) ?? []), o]);
@@ -439,11 +442,14 @@
         placedByHall.set(hall, (placedByHall.get(hall) ?? 0) + 1);
       }
       const waited = Math.max(0, wall - job.at * MS) / this.tuning.waitDoubles;
+      // Spare room is what guests are for: what has begun of their work is not raised above that of others.
+      const begun = book !== undefined && (book.placed.size > 0 || book.done.count > 0);
+      const raised = this.guests.has(spec.Crew) && begun ? 1 : raise(waited);
       out.push({
         id,
         crew: spec.Crew,
         need: { cpus: spec.Cpus, gpus: spec.Gpus, memGb: spec.MemGb },
-        priority: RANK_PRIORITY[spec.Rank] * raise(waited),
+        priority: RANK_PRIORITY[spec.Rank] * raised,
         order: job.stamp,
         waiting: count,
         pieces: spec.Pieces,
--- a/packages/testkit/scale.test.ts
+++ b/packages/testkit/scale.test.ts
@@ -137,3 +137,24 @@
   await world.run(3 * SECOND);
   for (const id of ids) assert.equal(world.told.get(id), 'done');
 });
+
+// A guest's large job, begun while there was room and waiting ever since, outranked the teams' work on a full fleet.
+test('what has begun of the work of guests takes no room from work that came later', async () => {
+  const none = { cpus: 0, cpusMax: Infinity, gpus: 0, gpusMax: Infinity };
+  const teams = [
+    { name: 'blue', cpus: 4, cpusMax: 200, gpus: 0, gpusMax: 0 },
+    { name: 'guest', ...none },
+  ];
+  const world = new SimWorld({ seed: 82, nodes: 1, capacity: 1, settings: { teams } });
+  const low = { Rank: 'best_effort' as const, ExpectS: 15, Cpus: 2 };
+  world.clock.at(2 * SECOND, () => {
+    world.submit(sampleJob('j-1', { ...low, Crew: 'guest', Pieces: 300 }));
+  });
+  await world.run(150 * SECOND);
+  assert.ok(world.rules.on('j-1').length > 8, 'the guest has no room');
+  world.submit(sampleJob('j-2', { ...low, Crew: 'blue', Pieces: 24 }));
+  await world.run(60 * SECOND);
+  assert.equal(world.told.get('j-2'), 'done');
+  assert.equal(world.rules.isComplete('j-1'), false);
+  assert.ok(world.rules.on('j-1').length > 8, 'spare room is not for guests');
+});
