--- a/packages/cluster/writer.test.ts
+++ b/packages/cluster/writer.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Pace, type StoreClient, type Write } from '#store';
-import { SimClock } from '#testkit';
+import { type Guard, Pace, type StoreClient, type Write } from '#store';
+import { sampleJob, SimClock } from '#testkit';
 import { MS, SECOND } from '#wire';
+import { jobKey, LEAD, overKey, ownershipKey } from './keys.js';
 import type { HostRow } from './ledger.js';
 import type { Membership } from './membership.js';
 import { Replica } from './replica.js';
@@ -42,3 +43,54 @@
   const took = (sent.at(-1)?.at ?? 0) - (sent[0]?.at ?? 0);
   assert.ok(took > ((values - 10) / 4) * SECOND, `${values} values in ${took / SECOND} s`);
 });
+
+/** A writer over a state service that notes what it is sent and applies it all; it owns share 0 and leads. */
+function notingWriter(): {
+  writer: LogWriter;
+  replica: Replica;
+  sent: { guards: Guard[]; writes: Write[] }[];
+} {
+  const clock = new SimClock();
+  const view = clock.view((step) => step(), 0, 0);
+  const sent: { guards: Guard[]; writes: Write[] }[] = [];
+  const store = {
+    commit: (guards: Guard[], writes: Write[]) => {
+      sent.push({ guards, writes });
+      return Promise.resolve({ kind: 'refused', failed: [], epoch: 0 });
+    },
+    get: () => Promise.reject(new Error('away')),
+  } as unknown as StoreClient;
+  const replica = new Replica(store, view, SILENT, 70);
+  const owned = new Map([[0, { stamp: 7 }]]);
+  const membership = { lead: () => ({ stamp: 1 }), shares: () => owned } as unknown as Membership;
+  const pace = new Pace(view, () => 10);
+  const limits = { valueBytes: 2048, txnOps: 6 };
+  return {
+    writer: new LogWriter(store, replica, membership, view, limits, pace, pace, SILENT),
+    replica,
+    sent,
+  };
+}
+
+// Of a withdrawal and the last end of a job only one may win: whoever comes second must find the key changed.
+test('the end of a job relies on the revision of its key, and on the ownership of its share', () => {
+  const { writer, sent } = notingWriter();
+  void writer.finish([['j-1', { spec: sampleJob('j-1'), at: 0, stamp: 31 }]], [0]);
+  assert.deepEqual(sent[0]?.guards, [
+    { path: ownershipKey(0), stamp: 7 },
+    { path: jobKey('j-1'), stamp: 31 },
+  ]);
+  assert.deepEqual(sent[0].writes, [{ set: jobKey('j-1'), value: { Status: 'done' } }]);
+});
+
+test('an ended job is put away only as it lies there', async () => {
+  const { writer, replica, sent } = notingWriter();
+  replica.ended.set('j-1', { status: 'withdrawn', stamp: 32 });
+  await writer.tidy();
+  assert.deepEqual(sent[0]?.guards, [
+    { path: LEAD, stamp: 1 },
+    { path: jobKey('j-1'), stamp: 32 },
+  ]);
+  const value = { Status: 'withdrawn' };
+  assert.deepEqual(sent[0].writes, [{ remove: jobKey('j-1') }, { set: overKey('j-1'), value }]);
+});
