--- a/packages/cluster/writer.test.ts
+++ b/packages/cluster/writer.test.ts
@@ -44,7 +44,7 @@
   assert.ok(took > ((values - 10) / 4) * SECOND, `${values} values in ${took / SECOND} s`);
 });
 
-/** A writer over a state service that notes what it is sent and applies it all; it owns share 0 and leads. */
+/** A writer over a state service that notes what it is sent and refuses it all; it owns share 0 and leads. */
 function notingWriter(): {
   writer: LogWriter;
   replica: Replica;
--- a/packages/testkit/meetings.test.ts
+++ b/packages/testkit/meetings.test.ts
@@ -9,9 +9,13 @@
 
 const TEAMS = ['blue', 'green', 'red'].map((name) => ({ name, cpus: 8, cpusMax: 24, gpus: 0, gpusMax: 2 }));
 
+function newWorld(options: WorldOptions): SimWorld {
+  return new SimWorld({ ...options, settings: { teams: TEAMS, ...options.settings } });
+}
+
 /** A world of three teams with one long job each, so that every node that owns a share has work on it. */
 async function busyWorld(options: WorldOptions): Promise<SimWorld> {
-  const world = new SimWorld({ ...options, settings: { teams: TEAMS, ...options.settings } });
+  const world = newWorld(options);
   world.clock.at(2 * SECOND, () => {
     TEAMS.forEach((team, i) => {
       world.submit(sampleJob(`j-${i}`, { Crew: team.name, Pieces: 10, ExpectS: 200 }));
@@ -104,10 +108,6 @@
   return ids;
 }
 
-function newWorld(options: WorldOptions): SimWorld {
-  return new SimWorld({ ...options, settings: { teams: TEAMS, ...options.settings } });
-}
-
 /** The troubles are over: from here on the checker sees to it that nothing is forgotten or left waiting. */
 async function untilOver(world: SimWorld, jobs: readonly string[], most = 200): Promise<void> {
   world.rules.troublesOver(world.clock.time);
@@ -130,15 +130,6 @@
   }
 }
 
-function refusePeers(world: SimWorld, index: number, on: boolean): void {
-  for (let i = 0; i < world.nodeCount; i++) {
-    for (const link of [`node-${index}>10.0.0.${i}:81`, `node-${i}>10.0.0.${index}:81`]) {
-      if (on) world.net.refused.add(link);
-      else world.net.refused.delete(link);
-    }
-  }
-}
-
 async function killFor(world: SimWorld, nodes: readonly number[], pause: Micros): Promise<void> {
   for (const node of nodes) world.killNode(node);
   await world.run(pause);
@@ -382,7 +373,7 @@
     const world = await busyWorld({ seed });
     const { leader, job } = leading(world);
     world.store.shunned.add(`node-${leader}`);
-    refusePeers(world, leader, true);
+    world.refusePeers(leader, true);
     const next = await untilLed(world, leader);
     const before = world.workerReports(leader);
     await confirmWithdrawal(world, job, next);
@@ -391,7 +382,7 @@
     assert.ok(world.workerReports(leader) > before, 'no worker stays with the old leader');
     await world.run(26 * SECOND);
     assert.deepEqual(world.rules.on(job), []);
-    refusePeers(world, leader, false);
+    world.refusePeers(leader, false);
     world.store.shunned.clear();
     await world.run(30 * SECOND);
     assert.equal(world.rules.startsAfterConfirmation, 0);
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -259,6 +259,16 @@
     life.thaws = this.clock.time + duration;
   }
 
+  /** Connections between this node and its peers are refused, either way. */
+  refusePeers(index: number, on: boolean): void {
+    for (let i = 0; i < this.nodeCount; i++) {
+      for (const link of [`node-${index}>10.0.0.${i}:81`, `node-${i}>10.0.0.${index}:81`]) {
+        if (on) this.net.refused.add(link);
+        else this.net.refused.delete(link);
+      }
+    }
+  }
+
   private gateOf(life: Life): Gate {
     const pass: Gate = (step) => {
       if (!life.on) return;
--- a/packages/testkit/troubles.test.ts
+++ b/packages/testkit/troubles.test.ts
@@ -40,15 +40,6 @@
   return world.clock.time - from;
 }
 
-function refusePeers(world: SimWorld, index: number, on: boolean): void {
-  for (let i = 0; i < world.nodeCount; i++) {
-    for (const link of [`node-${index}>10.0.0.${i}:81`, `node-${i}>10.0.0.${index}:81`]) {
-      if (on) world.net.refused.add(link);
-      else world.net.refused.delete(link);
-    }
-  }
-}
-
 test('a machine whose reports arrive while no answer reaches it is emptied by proof, and given up', async () => {
   const world = await busyWorld({ seed: 41 });
   const mute = [...world.workers.values()].find((w) => w.taskCount > 0);
@@ -102,7 +93,7 @@
   const world = await busyWorld({ seed: 44 });
   const cut = [...ownersOf(world)].find((i) => i !== leaderOf(world)) ?? 0;
   world.store.shunned.add(`node-${cut}`);
-  refusePeers(world, cut, true);
+  world.refusePeers(cut, true);
   await world.run(7 * SECOND);
   assert.equal(world.health(cut), 503, 'users are still sent to it');
   // cancel_s less lease_s of these settings, together.
@@ -111,7 +102,7 @@
   await world.run(10 * SECOND);
   assert.equal(world.workerReports(cut), late, 'it still answers workers');
   world.store.shunned.delete(`node-${cut}`);
-  refusePeers(world, cut, false);
+  world.refusePeers(cut, false);
   await untilDone(world, ['j-1', 'j-2'], 150 * SECOND);
   await world.run(10 * SECOND);
   assert.equal(ownersOf(world).has(cut), true);
