--- a/packages/cluster/checkpoint.ts
+++ b/packages/cluster/checkpoint.ts
@@ -20,6 +20,7 @@
       attempt: number,
       need: StartGroup['need'],
       on: PlacedTask[],
+      gangSize?: number,
     ]
   | [k: 'd', job: string, ranges: string];
 
@@ -35,7 +36,9 @@
 /** Tasks in one row, so that a row fits into any value. */
 const ROW_TASKS = 40;
 const ROW_RANGES = 60;
+/** Names in one row, and how long they may be together. */
 const ROW_NAMES = 20;
+const ROW_NAME_LENGTH = 300;
 
 export function checkpointRows(ledger: Ledger, isLive: (job: string) => boolean): CheckpointRow[] {
   const names = new Map<string, number>();
@@ -62,7 +65,9 @@
       let on = open.get(p.attempt);
       if (!on || on.length === ROW_TASKS) {
         open.set(p.attempt, (on = []));
-        rows.push(['s', job, numberOf(p.team), p.at - base, p.attempt, [p.cpus, p.gpus, p.memGb], on]);
+        const front = ['s', job, numberOf(p.team), p.at - base, p.attempt] as const;
+        const need: StartGroup['need'] = [p.cpus, p.gpus, p.memGb];
+        rows.push(p.gangSize === null ? [...front, need, on] : [...front, need, on, p.gangSize]);
       }
       on.push([p.index, machines.get(p.host) ?? -1, p.session]);
     }
@@ -74,8 +79,24 @@
   }
   const head: CheckpointRow[] = [['t', base]];
   const known = [...names.keys()];
-  for (let i = 0; i < known.length; i += ROW_NAMES) head.push(['n', ...known.slice(i, i + ROW_NAMES)]);
-  return [...head, ...rows];
+  return [...head, ...nameRows(known), ...rows];
+}
+
+function nameRows(names: readonly string[]): CheckpointRow[] {
+  const rows: CheckpointRow[] = [];
+  let row: string[] = [];
+  let length = 0;
+  for (const name of names) {
+    if (row.length === ROW_NAMES || (row.length > 0 && length + name.length > ROW_NAME_LENGTH)) {
+      rows.push(['n', ...row]);
+      row = [];
+      length = 0;
+    }
+    row.push(name);
+    length += name.length;
+  }
+  if (row.length > 0) rows.push(['n', ...row]);
+  return rows;
 }
 
 /** What a checkpoint is read back into. */
@@ -103,9 +124,10 @@
     else if (row[0] === 'p') sink.price(row[1], row[2], [row[3], row[4], row[5]]);
     else if (row[0] === 'd') sink.done(row[1], row[2]);
     else {
-      const [, job, team, at, attempt, need, on] = row;
+      const [, job, team, at, attempt, need, on, gangSize] = row;
       const tasks = on.map(([i, m, session]): [number, string, Count] => [i, machines[m] ?? '', session]);
-      sink.start({ job, team: name(team), image: '', need, tasks }, attempt, base + at);
+      const gang = gangSize === undefined ? {} : { gang: { attempt, size: gangSize } };
+      sink.start({ job, team: name(team), image: '', need, ...gang, tasks }, attempt, base + at);
     }
   }
 }
--- a/packages/cluster/done-set.ts
+++ b/packages/cluster/done-set.ts
@@ -30,6 +30,11 @@
     while (this.has(this.low)) this.low++;
   }
 
+  /** All tasks of a job of this size. */
+  addAll(size: number): void {
+    for (let i = 0; i < size; i++) this.add(i);
+  }
+
   ranges(): string[] {
     const out: string[] = [];
     const end = this.bits.length * 8;
--- /dev/null
+++ b/packages/cluster/gang.ts
@@ -0,0 +1,28 @@
+/** Gangs in the placement state: tasks that start together, under one attempt number, or not at all. */
+
+/** Names one attempt of a gang, alike in every part of its start. */
+export interface GangAttempt {
+  attempt: number;
+  /** How many tasks the gang has. */
+  size: number;
+}
+
+/** What a gang's wholeness is told from. */
+interface PlacedTasks {
+  readonly placed: ReadonlyMap<number, { attempt: number }>;
+}
+
+/**
+ * A gang's tasks all have a place under one attempt. Only then may any of them be started: its start may be split
+ * over several records, and a reader that has seen some of them, at whatever point, takes none of it for a start.
+ * Once a task has ended the attempt is over for all. For independent tasks this is always true.
+ */
+export function isWhole(entry: PlacedTasks, placement: { gangSize: number | null }): boolean {
+  return placement.gangSize === null || entry.placed.size === placement.gangSize;
+}
+
+/** A part of a gang's start may join what is placed: nothing, or other parts of the same attempt. */
+export function mayJoin(entry: PlacedTasks, { attempt }: GangAttempt): boolean {
+  for (const placement of entry.placed.values()) return placement.attempt === attempt;
+  return true;
+}
--- a/packages/cluster/index.ts
+++ b/packages/cluster/index.ts
@@ -1,5 +1,7 @@
+export * from './capabilities.js';
 export * from './checkpoint.js';
 export * from './done-set.js';
+export * from './gang.js';
 export * from './keys.js';
 export * from './membership.js';
 export * from './ledger.js';
--- a/packages/cluster/keys.ts
+++ b/packages/cluster/keys.ts
@@ -11,6 +11,8 @@
 export const CHUNKS = 'mw/now/chunk/';
 export const JOBS = 'mw/now/job/';
 export const LOGS = 'mw/now/log/';
+/** What each member has announced to understand; outlives its process, and older versions pass over it. */
+export const CAPABILITIES = 'mw/now/capability/';
 export const MEMBERS = 'mw/now/member/';
 export const SHARES = 'mw/now/share/';
 export const TYPES = 'mw/now/type/';
@@ -37,6 +39,10 @@
   return MEMBERS + member;
 }
 
+export function capabilityKey(member: string): string {
+  return CAPABILITIES + member;
+}
+
 /** The key whose revision a writer of this log guards. */
 export function ownershipKey(log: LogId): string {
   return log === 'lead' ? LEAD : shareKey(log);
--- a/packages/cluster/ledger.ts
+++ b/packages/cluster/ledger.ts
@@ -1,11 +1,17 @@
 import { type Count, formatTaskName } from '#wire';
 import { type CheckpointRow, readRows } from './checkpoint.js';
 import { DoneSet } from './done-set.js';
+import { type GangAttempt, isWhole, mayJoin } from './gang.js';
 import type { LogId } from './keys.js';
 
 /** Attempts are unique over all logs: a record's number times this, plus its share. */
 const ATTEMPT_STRIDE = 1024;
 
+/** Number of the attempts that a record of a share's log makes. */
+export function attemptNumber(share: number, sequence: number): number {
+  return sequence * ATTEMPT_STRIDE + share;
+}
+
 const IMAGES_KEPT = 16;
 /** From so many failures without a success between them a job, and not its machines, is held at fault. */
 export const JOB_AT_FAULT = 3;
@@ -30,6 +36,8 @@
   taskName: string;
   team: string;
   attempt: number;
+  /** How many tasks its gang has; null for an independent task. */
+  gangSize: number | null;
   host: string;
   /** The session for which the start was decided; in any other the start has no force. */
   session: Count;
@@ -89,6 +97,8 @@
   /** Name of its image, which the machines will have from then on. */
   image: string;
   need: [number, number, number];
+  /** Absent for independent tasks. */
+  gang?: GangAttempt;
   tasks: [number, string, Count][];
 }
 
@@ -188,6 +198,12 @@
     return this.jobEntries.get(job)?.placed.get(index);
   }
 
+  /** Nothing of its gang is missing: see {@link isWhole}. */
+  isWhole(placement: Placement): boolean {
+    const entry = this.jobEntries.get(placement.job);
+    return entry !== undefined && isWhole(entry, placement);
+  }
+
   placementsOn(host: string): Iterable<Placement> {
     return this.onHost.get(host)?.values() ?? [];
   }
@@ -283,12 +299,14 @@
       entry.ownershipCount++;
     }
     for (const group of record.starts ?? []) {
+      if (group.gang && !mayJoin(this.jobEntry(group.job), group.gang)) continue;
+      const attempt = group.gang?.attempt ?? attemptNumber(share, record.sequence);
       for (const on of group.tasks) {
         const taken = this.placement(group.job, on[0]) ?? this.jobEntries.get(group.job)?.done.has(on[0]);
         const entry = ours(on[1]);
         if (!entry || taken) continue;
         entry.images = [...entry.images.filter((i) => i !== group.image), group.image].slice(-IMAGES_KEPT);
-        this.put(group, on, record.sequence * ATTEMPT_STRIDE + share, record.at);
+        this.put(group, on, attempt, record.at);
       }
     }
     for (const [host, lastReport] of record.releases ?? []) {
@@ -312,7 +330,7 @@
     const taskName = formatTaskName(group.job, index);
     const placement: Placement = {
       ...{ job: group.job, index, taskName, team: group.team, attempt, host, session, at },
-      ...{ cpus, gpus, memGb },
+      ...{ cpus, gpus, memGb, gangSize: group.gang?.size ?? null },
     };
     this.jobEntry(group.job).placed.set(index, placement);
     let there = this.onHost.get(host);
@@ -347,7 +365,10 @@
     there?.delete(placement.taskName);
     if (there?.size === 0) this.onHost.delete(placement.host);
     this.charge(placement, -1);
-    if (outcome === 'done') entry.done.add(index);
+    if (outcome !== 'done') return true;
+    // A gang's tasks complete together: none of them is to run again, even where a machine was lost meanwhile.
+    if (placement.gangSize !== null) entry.done.addAll(placement.gangSize);
+    else entry.done.add(index);
     return true;
   }
 
--- a/packages/cluster/membership.ts
+++ b/packages/cluster/membership.ts
@@ -1,4 +1,5 @@
-import { LEAD, memberKey } from './keys.js';
+import { encodeCapabilities, OWN_CAPABILITIES } from './capabilities.js';
+import { capabilityKey, LEAD, memberKey } from './keys.js';
 import type { Logger } from './logger.js';
 import type { Lead, Replica, ShareOwner } from './replica.js';
 import { type StoreClient, StoreError } from '#store';
@@ -113,6 +114,7 @@
     return {
       ...{ Nonce: standing.nonce, Zone: this.zone, Permit: standing.leaseId },
       ...{ Unreachable: unreachable, WorkersUnreachable: workersUnreachable },
+      ...encodeCapabilities(),
     };
   }
 
@@ -136,7 +138,23 @@
     } else if (this.state === 'joining' && this.clock.now() > standing.at + PATIENCE) {
       // The commit's answer was lost. Once its grant is gone it can't be applied any more.
       await this.leave();
-    } else if (this.state === 'member') this.campaign();
+    } else if (this.state === 'member') {
+      this.campaign();
+      await this.announceCapabilities();
+    }
+  }
+
+  /** Lays down what this version understands where it outlives the process, if it isn't there yet. */
+  private async announceCapabilities(): Promise<void> {
+    const memberRecord = this.replica.members.get(this.member);
+    const announced = this.replica.capabilities.get(this.member);
+    if (!memberRecord || !this.isOurs(memberRecord.nonce)) return;
+    if (OWN_CAPABILITIES.every((capability) => announced?.has(capability))) return;
+    // Guarded by this process's own record: a late commit can't speak for a later process.
+    await this.store.commit(
+      [{ path: memberKey(this.member), revision: memberRecord.revision }],
+      [{ set: capabilityKey(this.member), value: encodeCapabilities() }],
+    );
   }
 
   private async leave(): Promise<void> {
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -1,6 +1,7 @@
 import type { Logger } from './logger.js';
 import {
   ALL,
+  CAPABILITIES,
   TOKEN_KEY,
   CHECKPOINT_HEAD,
   CHUNKS,
@@ -20,6 +21,7 @@
   SHARES,
   TYPES,
 } from './keys.js';
+import { allSupport, type Capability, decodeCapabilities } from './capabilities.js';
 import type { CheckpointRow } from './checkpoint.js';
 import type { MemberContacts } from './membership.js';
 import { Ledger, type PlacementRecord, type Positions } from './ledger.js';
@@ -61,6 +63,8 @@
   nonce: string;
   zone: string;
   leaseId: Count;
+  /** What its process announces to understand; nothing in the records of older versions. */
+  capabilities: ReadonlySet<string>;
   revision: number;
 }
 
@@ -103,6 +107,8 @@
   readonly types = new Map<string, MachineType>();
   lead: Lead | null = null;
   readonly members = new Map<string, Member>();
+  /** By member: what it has announced to understand, also while it is down. */
+  readonly capabilities = new Map<string, ReadonlySet<string>>();
   readonly owners = new Map<number, ShareOwner>();
   token = { value: 0, revision: 0 };
   private checkpoint: { id: string; positions: Positions; chunks: number; revision: number } = NO_CHECKPOINT;
@@ -141,6 +147,11 @@
     return total / Math.max(1, this.members.size);
   }
 
+  /** Every one of these members understands it, those that are down included. */
+  allSupport(members: readonly string[], capability: Capability): boolean {
+    return allSupport(members, { living: this.members, lasting: this.capabilities }, capability);
+  }
+
   /** Changes a second by all nodes, as the watch has shown them lately. */
   get changeRate(): number {
     return this.changes.rate();
@@ -197,6 +208,13 @@
     return this.ledger.size - Object.values(this.checkpoint.positions).reduce((a, b) => a + b, 0);
   }
 
+  /** Records since the last checkpoint in the log that has most of them. */
+  get fullestLog(): number {
+    const covered = this.checkpoint.positions;
+    const since = Object.entries(this.ledger.allPositions()).map(([log, seq]) => seq - (covered[log] ?? 0));
+    return Math.max(0, ...since);
+  }
+
   /**
    * Resolves true once everything that the state service had committed when this was called is applied
    * here; false if that can't be had now. Callers that come close together share one read.
@@ -297,6 +315,7 @@
     this.chunkRows.clear();
     this.lead = null;
     this.members.clear();
+    this.capabilities.clear();
     this.owners.clear();
     this.token = { value: 0, revision: 0 };
     this.checkpoint = NO_CHECKPOINT;
@@ -370,6 +389,8 @@
       const member = path.slice(MEMBERS.length);
       if (value) this.members.set(member, memberOf(member, value, revision));
       else this.members.delete(member);
+    } else if (path.startsWith(CAPABILITIES)) {
+      this.capabilities.set(path.slice(CAPABILITIES.length), decodeCapabilities(value));
     } else if (path.startsWith(JOBS)) {
       this.takeJob(path.slice(JOBS.length), change);
     } else if (path.startsWith(LOGS)) {
@@ -447,6 +468,7 @@
     nonce: String(value['Nonce']),
     zone: String(value['Zone']),
     leaseId: value['Permit'] as Count,
+    capabilities: decodeCapabilities(value),
     unreachable: Array.isArray(unreachable) ? unreachable.map(String) : [],
     workersUnreachable: value['WorkersUnreachable'] === true,
     revision,
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -6,6 +6,7 @@
   LEAD,
   type LogId,
   logKey,
+  LOG_PLACES,
   overKey,
   ownershipKey,
 } from './keys.js';
@@ -14,7 +15,16 @@
 import type { Logger } from './logger.js';
 import type { Membership } from './membership.js';
 import type { Final, LiveJob, Replica } from './replica.js';
-import type { Guard, Pace, StoreClient, Write } from '#store';
+import {
+  type CommitResult,
+  type Guard,
+  isTooFast,
+  isTooLarge,
+  type Pace,
+  type StoreClient,
+  type Write,
+  type WriteLimits,
+} from '#store';
 import { type Clock, type Fields, jsonBytes, type Micros, MS, SECOND, sleep } from '#wire';
 
 export type RecordDraft = Omit<PlacementRecord, 'sequence' | 'at' | 'order'>;
@@ -22,6 +32,8 @@
 /** Records between two checkpoints, at least and for each value that the last one took. */
 const CHECKPOINT_EVERY = 90;
 const RECORDS_PER_CHUNK = 8;
+/** A log that is filled to this part needs one all the same: writing it takes time, too. */
+const CHECKPOINT_FILL = 0.5;
 const CHECKPOINT_TRIES = 8;
 const CHECKPOINT_RETRY: Micros = 400 * MS;
 const TXN_BYTES = 60 * 1024;
@@ -42,7 +54,7 @@
     private readonly replica: Replica,
     private readonly membership: Membership,
     private readonly clock: Clock,
-    private readonly limits: { valueBytes: number; txnOps: number },
+    private readonly limits: WriteLimits,
     /** For records and jobs' ends. */
     private readonly pace: Pace,
     /**
@@ -114,17 +126,19 @@
     this.tidying = true;
     try {
       const due = Math.max(CHECKPOINT_EVERY, RECORDS_PER_CHUNK * this.replica.checkpointChunks);
-      if (this.replica.sinceCheckpoint >= due) await this.checkpoint();
+      if (this.replica.sinceCheckpoint >= due || this.replica.fullestLog >= CHECKPOINT_FILL * LOG_PLACES)
+        await this.checkpoint();
       else await this.putAway();
       const litter = this.replica.litter().slice(0, this.limits.txnOps);
       const guards = this.ownerships(new Set<LogId>(['lead']));
       if (guards && litter.length > 0) {
         await sleep(this.clock, this.upkeep.wait());
         this.upkeep.take(litter.length);
-        await this.store.commit(
+        const result = await this.store.commit(
           guards,
           litter.map((remove) => ({ remove })),
         );
+        this.adapt(result, this.upkeep);
       }
     } finally {
       this.tidying = false;
@@ -144,6 +158,7 @@
     }
     this.upkeep.take(writes.length);
     const result = await this.store.commit(guards, writes);
+    this.adapt(result, this.upkeep);
     if (result.kind === 'applied') await this.replica.reach(result.epoch, SECOND);
   }
 
@@ -185,10 +200,22 @@
       const result = await this.store.commit(guards, writes);
       if (result.kind === 'applied') return true;
       if (result.kind === 'refused') return false;
+      this.adapt(result, this.upkeep);
+      // Its other parts were cut to the same size: the checkpoint is begun anew with smaller ones.
+      if (isTooLarge(result)) return false;
     }
     return false;
   }
 
+  /** Later writes are smaller, or come more slowly, if this one was refused for its size or pace. */
+  private adapt(result: CommitResult, pace: Pace): void {
+    if (isTooFast(result)) pace.refused();
+    if (!isTooLarge(result)) return;
+    this.limits.shrink();
+    const { valueBytes, txnOps } = this.limits;
+    this.log.info({ valueBytes, txnOps }, 'writes get smaller');
+  }
+
   private valuesPerCommit(): number {
     return Math.max(1, Math.min(this.limits.txnOps, Math.floor(TXN_BYTES / this.limits.valueBytes)));
   }
@@ -209,6 +236,7 @@
     this.pace.take(writes.length);
     const result = await this.store.commit(guards, writes);
     if (result.kind === 'applied') return this.replica.reach(result.epoch, SECOND);
+    this.adapt(result, this.pace);
     this.log.debug({ result, last: guards.at(-1)?.path }, 'commit did not land');
     // What the log says now decides: a lost answer may hide a commit that was applied.
     await this.replica.barrier();
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -2,6 +2,7 @@
 import { CloudClient } from '#cloud';
 import {
   CONTACT_STEP,
+  LOG_PLACES,
   type MachineEntry,
   type LogId,
   type Logger,
@@ -17,7 +18,7 @@
   WorkerContact,
 } from '#cluster';
 import type { Settings, Tuning } from '#settings';
-import { Pace, StoreClient } from '#store';
+import { Pace, StoreClient, WriteLimits } from '#store';
 import {
   type Caller,
   type Clock,
@@ -71,6 +72,9 @@
 const BUSY_PART = 0.8;
 /** What the leader's checkpoints may take of them. */
 const CHECKPOINT_PART = 0.16;
+/** The same, once a log is so full that its records may soon have to wait for a checkpoint. */
+const URGENT_CHECKPOINT_PART = 0.35;
+const URGENT_FILL = 0.6;
 /** A round starts no sooner than so many times its planning after the one before. */
 const PLAN_REST = 4;
 
@@ -118,8 +122,9 @@
     this.membership = new Membership(member, domain, incarnation, store, replica, clock, random, log);
     const { membership, workers } = this;
     const pace = new Pace(clock, (used) => this.logRate(used));
-    const upkeep = new Pace(clock, () => settings.stateWriteRps * CHECKPOINT_PART);
-    this.writer = new LogWriter(store, replica, membership, clock, settings, pace, upkeep, log);
+    const upkeep = new Pace(clock, () => settings.stateWriteRps * this.checkpointPart());
+    const limits = new WriteLimits(settings.valueBytes, settings.txnOps);
+    this.writer = new LogWriter(store, replica, membership, clock, limits, pace, upkeep, log);
     this.users = new JobService(settings, store, replica, clock);
     const runTimes = new RunTimes(clock, replica, workers, log);
     this.runTimes = runTimes;
@@ -135,7 +140,20 @@
       this.wake();
     };
     this.leader = new Leader({
-      ...{ settings, clock, store, cloud, replica, membership, writer, forecaster, runTimes, log, wake },
+      ...{
+        settings,
+        clock,
+        store,
+        cloud,
+        replica,
+        membership,
+        writer,
+        limits,
+        forecaster,
+        runTimes,
+        log,
+        wake,
+      },
     });
     this.peers = new PeerWatch(
       settings.peers,
@@ -277,6 +295,12 @@
     return Math.max(even, Math.min(MOST_LOG_PARTS * even, stateWriteRps * BUSY_PART - others));
   }
 
+  /** The leader's checkpoints get a larger part of all changes while a log has little room left. */
+  private checkpointPart(): number {
+    const isUrgent = this.replica.fullestLog > URGENT_FILL * LOG_PLACES;
+    return isUrgent ? URGENT_CHECKPOINT_PART : CHECKPOINT_PART;
+  }
+
   private ownShares(): Map<number, ShareOwner> {
     return this.membership.shares();
   }
--- a/packages/daemon/forecast.ts
+++ b/packages/daemon/forecast.ts
@@ -65,9 +65,11 @@
    * How many machines' worth of a need is worth renting: where its users leave time, one slot serves several
    * short tasks in turn.
    */
-  worthRenting({ job, count }: NeedRow): NeedRow {
+  worthRenting(need: NeedRow): NeedRow {
+    const { job, count } = need;
     const spec = this.replica.jobs.get(job.id)?.spec;
-    if (!spec) return { job, count };
+    // A gang's tasks run at the same time: none of them takes its turn after another.
+    if (!spec || job.gang) return need;
     const run = this.runTimes.expected(spec);
     const patience = Math.max(run, this.patience(spec, run));
     return { job, count: Math.ceil((count * run) / Math.max(patience, 1)) };
--- a/packages/daemon/job-service.ts
+++ b/packages/daemon/job-service.ts
@@ -7,6 +7,7 @@
   type Clock,
   encodeJobState,
   isJobId,
+  jsonBytes,
   type JobState,
   MS,
   parseSubmission,
@@ -18,6 +19,8 @@
 /** Another node may be able to: a new connection lets the load balancer choose again. */
 const AWAY: Answer = { status: 503, body: { error: 'state not reachable' }, retryAfterS: 1, close: true };
 const TRIES = 3;
+/** Room that a job's record needs beside the job itself. */
+const RECORD_FRAME_BYTES = 100;
 
 export function unavailable(error: string): Answer {
   return { status: 503, body: { error }, retryAfterS: 1 };
@@ -25,12 +28,17 @@
 
 /** What users ask for. Any node answers, and none before it has caught up with what any other may have said. */
 export class JobService {
+  /** Every node of the cluster, whether it is up or not. */
+  private readonly allNodes: readonly string[];
+
   constructor(
     private readonly settings: Settings,
     private readonly store: StoreClient,
     private readonly replica: Replica,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.allNodes = [settings.member, ...settings.peers.map((peer) => peer.member)];
+  }
 
   async submit(body: unknown): Promise<Answer> {
     const parsed = parseSubmission(body);
@@ -44,7 +52,11 @@
     if (this.replica.types.size === 0) return unavailable('machine types not known yet');
     const never = this.neverRuns(job);
     if (never !== null) return this.known(job.id, { status: 422, body: { error: never } });
-    const value = { At: Math.floor(this.clock.wall() / MS), Job: job };
+    if (job.shape === 'gang' && !this.replica.allSupport(this.allNodes, 'gangs')) {
+      // A node of an older version would run its tasks one by one.
+      return this.known(job.id, unavailable('gangs are not served by all nodes yet'));
+    }
+    const value = { At: Math.floor(this.clock.wall() / MS), Job: this.storable(job) };
     for (let i = 0; i < TRIES; i++) {
       if (i > 0) await sleep(this.clock, 150 * MS);
       // Both keys must be absent: a repeat that comes after the job's end must not start it again.
@@ -111,6 +123,14 @@
     return { id, status, done: entry?.done.count ?? 0, running };
   }
 
+  /** The job as it is stored: where its list of machine types is too long for a value, only those that exist. */
+  private storable(job: JobSpec): JobSpec {
+    if (job.machineTypes === null || jsonBytes(job) <= this.settings.valueBytes - RECORD_FRAME_BYTES)
+      return job;
+    const machineTypes = [...this.replica.types.keys()].filter((name) => job.machineTypes?.includes(name));
+    return { ...job, machineTypes };
+  }
+
   private neverRuns(job: JobSpec): string | null {
     const team = this.settings.teams.find((t) => t.name === job.team);
     if (!team) return `unknown team ${job.team}`;
@@ -125,6 +145,10 @@
     if (!fits(need, { cpus: team.cpusMax, gpus: team.gpusMax, memGb: Infinity })) {
       return `a task needs more than the limit of team ${job.team}`;
     }
+    const whole = { cpus: need.cpus * job.taskCount, gpus: need.gpus * job.taskCount, memGb: 0 };
+    if (job.shape === 'gang' && !fits(whole, { cpus: team.cpusMax, gpus: team.gpusMax, memGb: Infinity })) {
+      return `all tasks together need more than the limit of team ${job.team}`;
+    }
     return null;
   }
 }
--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -28,7 +28,7 @@
   usedPart,
 } from '#fleet';
 import type { Settings } from '#settings';
-import type { StoreClient, Write } from '#store';
+import { isTooLarge, type StoreClient, type Write, type WriteLimits } from '#store';
 import { type Clock, type Fields, type MachineType, type Micros, SECOND } from '#wire';
 import type { Forecaster, OwnerForecast } from './forecast.js';
 import type { RunTimes } from './run-times.js';
@@ -54,6 +54,7 @@
   replica: Replica;
   membership: Membership;
   writer: LogWriter;
+  limits: WriteLimits;
   forecaster: Forecaster;
   runTimes: RunTimes;
   log: Logger;
@@ -146,7 +147,7 @@
 
   /** Gives shares without a living owner a new one, and evens out what members own. */
   private async dealShares(): Promise<void> {
-    const { replica, membership, store, settings, log, clock } = this.parts;
+    const { replica, membership, store, settings, limits, log, clock } = this.parts;
     const lead = membership.lead();
     if (this.assigning || !lead) return;
     const members = eligible([...replica.members.values()]);
@@ -159,7 +160,7 @@
     this.assigning = true;
     this.lastShares = clock.now();
     const token = replica.token.value + 1;
-    const some = plan.slice(0, settings.txnOps - 1);
+    const some = plan.slice(0, limits.txnOps - 1);
     const guards = [
       { path: LEAD, revision: lead.revision },
       { path: TOKEN_KEY, revision: replica.token.revision },
@@ -180,6 +181,7 @@
       await replica.reach(result.epoch, SECOND);
       log.info({ token, shares: Object.fromEntries(some.map((a) => [a.share, a.member])) }, 'shares dealt');
     }
+    if (isTooLarge(result)) limits.shrink();
     this.assigning = false;
   }
 
@@ -229,6 +231,14 @@
     return [...counts].sort((a, b) => a[1] - b[1])[0]?.[0] ?? 0;
   }
 
+  /** A gang on it is told what to do by the owner of all its machines as long as that can be had. */
+  private holdsGang(host: string): boolean {
+    for (const { gangSize } of this.parts.replica.ledger.placementsOn(host)) {
+      if (gangSize !== null) return true;
+    }
+    return false;
+  }
+
   /** Names this round's moves and returns what they leave to be rented for. */
   private move(forecasts: readonly OwnerForecast[]): ShareNeeds[] {
     const { replica, clock, log, forecaster, runTimes } = this.parts;
@@ -241,7 +251,8 @@
         const type = entry && replica.types.get(entry.machineType);
         if (!type) continue;
         // One that is kept for a task is as good as taken.
-        const settling = kept.has(host) || now - (this.movedAt.get(host) ?? -Infinity) < SETTLE;
+        const isMovedOn = now - (this.movedAt.get(host) ?? -Infinity) < SETTLE;
+        const settling = kept.has(host) || isMovedOn || this.holdsGang(host);
         const { machineType, zone: memberZone, spot } = entry;
         const busyFor = (): Micros => runTimes.busyFor(host);
         const total = amountsOf(type);
@@ -327,19 +338,21 @@
   }
 
   private async readTypes(): Promise<void> {
-    const { cloud, clock, membership, replica, settings, store } = this.parts;
+    const { cloud, clock, membership, replica, limits, store } = this.parts;
     this.lastTypes = clock.now();
     const types = await cloud.machineTypes();
     const lead = membership.lead();
     if (!types) this.lastTypes = clock.now() - TYPES_EVERY + SECOND;
     if (!types || !lead) return;
     const changed = types.filter((t) => differs(t, replica.types.get(t.name)));
-    for (let i = 0; i < changed.length; i += settings.txnOps) {
-      const writes: Write[] = changed.slice(i, i + settings.txnOps).map((t) => ({
+    const perTxn = limits.txnOps;
+    for (let i = 0; i < changed.length; i += perTxn) {
+      const writes: Write[] = changed.slice(i, i + perTxn).map((t) => ({
         set: TYPES + t.name,
         value: { Type: t } as unknown as Fields,
       }));
-      await store.commit([{ path: LEAD, revision: lead.revision }], writes);
+      const result = await store.commit([{ path: LEAD, revision: lead.revision }], writes);
+      if (isTooLarge(result)) limits.shrink();
     }
   }
 }
--- a/packages/daemon/preemption.ts
+++ b/packages/daemon/preemption.ts
@@ -76,7 +76,9 @@
       for (const p of ledger.placementsOn(host)) {
         const spec = jobs.get(p.job)?.spec;
         // A start that is stopped too soon was no start to its user.
-        if (!spec || spec.checkpointS <= 0 || wall - p.at * MS < SETTLED) continue;
+        // A gang falls as a whole for the room of one task.
+        if (!spec || p.gangSize !== null) continue;
+        if (spec.checkpointS <= 0 || wall - p.at * MS < SETTLED) continue;
         if (this.runTimes.remaining(p) < ALMOST_DONE) continue;
         const { cpus, gpus, memGb, taskName } = p;
         const beyond = ledger.used(p.team).cpus > (guarantee.get(p.team) ?? 0);
--- a/packages/daemon/round-input.ts
+++ b/packages/daemon/round-input.ts
@@ -23,6 +23,8 @@
 export class RoundInput {
   /** Teams without a guarantee. */
   private readonly guests: ReadonlySet<string>;
+  /** By class: within what time its tasks should have started. */
+  private readonly startAims = new Map<string, Micros>();
 
   constructor(
     settings: Settings,
@@ -32,6 +34,10 @@
     private readonly workers: WorkerRegistry,
     private readonly runTimes: RunTimes,
   ) {
+    for (const { kind, jobClass, within } of settings.objectives) {
+      if (kind !== 'wait' || jobClass === null || within === null) continue;
+      this.startAims.set(jobClass, Math.min(within, this.startAims.get(jobClass) ?? Infinity));
+    }
     this.guests = new Set(settings.teams.filter((t) => t.cpus === 0 && t.gpus === 0).map((t) => t.name));
   }
 
@@ -79,7 +85,7 @@
         const zone = this.zoneOf(p.host);
         placedByZone.set(zone, (placedByZone.get(zone) ?? 0) + 1);
       }
-      const waited = Math.max(0, wall - job.at * MS) / this.tuning.waitDoubles;
+      const waited = Math.max(0, wall - job.at * MS) / this.waitDoubles(spec);
       // Spare room is what guests are for: what has begun of their work is not raised above that of others.
       const begun = entry !== undefined && (entry.placed.size > 0 || entry.done.count > 0);
       const raised = this.guests.has(spec.team) && begun ? 1 : raise(waited);
@@ -91,6 +97,7 @@
         order: job.revision,
         waiting: count,
         taskCount: spec.taskCount,
+        gang: spec.shape === 'gang',
         machineTypes: spec.machineTypes,
         zone: spec.zone,
         singleZone: spec.singleZone,
@@ -103,6 +110,11 @@
     return out;
   }
 
+  /** The waiting time that doubles a job's priority: no longer than its users want to wait for its starts. */
+  private waitDoubles(spec: JobSpec): Micros {
+    return Math.min(this.tuning.waitDoubles, this.startAims.get(spec.jobClass) ?? Infinity);
+  }
+
   private roomy(host: string, ending: ReadonlySet<Placement>): RoomyMachine | null {
     const { ledger, types } = this.replica;
     const entry = ledger.hosts.get(host);
@@ -132,11 +144,15 @@
    * more rarely: it takes next to no room, and a first success sets it free.
    */
   private wanted(spec: JobSpec, entry: JobEntry | undefined): number {
-    const count = spec.taskCount - (entry?.done.count ?? 0) - (entry?.placed.size ?? 0);
+    const placed = entry?.placed.size ?? 0;
+    // A new attempt of a gang may begin only once every task of the old one is proven off its machine.
+    if (spec.shape === 'gang' && placed > 0) return 0;
+    const count = spec.taskCount - (entry?.done.count ?? 0) - placed;
     if (!entry || entry.errors < JOB_AT_FAULT) return count;
     const rest = Math.min(LONGEST_REST, 2 ** entry.errors * SECOND);
     const resting = this.clock.wall() < entry.failedAt * MS + rest;
-    return resting || entry.placed.size > 0 ? 0 : Math.min(count, 1);
+    if (resting || placed > 0) return 0;
+    return spec.shape === 'gang' ? count : Math.min(count, 1);
   }
 
   private hasStranger(host: string, session: Session): boolean {
--- a/packages/daemon/scheduler.ts
+++ b/packages/daemon/scheduler.ts
@@ -1,5 +1,12 @@
 /** One owner's rounds: turns what is known into a round's input, and its result into a placement record. */
-import type { Logger, Placement, Replica, ShapePrice, StartGroup } from '#cluster';
+import {
+  attemptNumber,
+  type Logger,
+  type Placement,
+  type Replica,
+  type ShapePrice,
+  type StartGroup,
+} from '#cluster';
 import type { NeedRow } from '#fleet';
 import {
   type Amounts,
@@ -10,6 +17,7 @@
   take,
 } from '#pricing';
 import type { Settings, Tuning } from '#settings';
+import type { JobSpec } from '#wire';
 import { type Ending, placementOf, type WorkerRegistry } from '#workers';
 import type { Preemption, Stop } from './preemption.js';
 import type { RoundInput } from './round-input.js';
@@ -44,6 +52,8 @@
   private readonly settings: Settings;
   private readonly replica: Replica;
   private readonly workers: WorkerRegistry;
+  /** The attempts of the gangs that this round starts, by job: all parts of a start bear the same. */
+  private readonly gangAttempts = new Map<string, number>();
 
   constructor(private readonly parts: SchedulerParts) {
     const { settings, tuning, replica, workers } = parts;
@@ -124,7 +134,13 @@
     const needs = jobs
       .filter((j) => (result.unmet.get(j.id) ?? 0) > 0)
       .sort((a, b) => b.priority - a.priority || a.order - b.order)
-      .map((job) => ({ job, count: result.unmet.get(job.id) ?? 0 }));
+      .map((job): NeedRow => {
+        const count = result.unmet.get(job.id) ?? 0;
+        const zone = result.gatheringZones.get(job.id);
+        return zone === undefined
+          ? { job, count }
+          : { job: { ...job, zone }, count, zoneIsOpen: job.zone === null };
+      });
     return { ...result, needs };
   }
 
@@ -145,6 +161,7 @@
   /** Gives each start its task and sorts them by the share of their machine. */
   private group(starts: readonly { job: string; host: string }[]): Map<number, StartGroup[]> {
     const byShare = new Map<number, StartGroup[]>();
+    this.gangAttempts.clear();
     const open = new Map<string, Iterator<number>>();
     for (const { job, host } of starts) {
       const spec = this.replica.jobs.get(job)?.spec;
@@ -160,13 +177,25 @@
       let group = groups.find((g) => g.job === job);
       if (!group) {
         const { team, image, cpus, gpus, memGb } = spec;
-        groups.push((group = { job, team, image, need: [cpus, gpus, memGb], tasks: [] }));
+        group = { job, team, image, need: [cpus, gpus, memGb], ...this.gangOf(spec, share), tasks: [] };
+        groups.push(group);
       }
       group.tasks.push([index.value, host, session.report.session]);
     }
     return byShare;
   }
 
+  /** What the parts of a gang's start have in common; nothing for independent tasks. */
+  private gangOf(spec: JobSpec, share: number): Pick<StartGroup, 'gang'> {
+    if (spec.shape !== 'gang') return {};
+    let attempt = this.gangAttempts.get(spec.id);
+    if (attempt === undefined) {
+      attempt = attemptNumber(share, this.replica.ledger.seq(share) + 1);
+      this.gangAttempts.set(spec.id, attempt);
+    }
+    return { gang: { attempt, size: spec.taskCount } };
+  }
+
   private *openIndices(job: string, taskCount: number): Generator<number> {
     const entry = this.replica.ledger.jobEntries.get(job);
     for (let i = entry?.done.firstOpen ?? 0; i < taskCount; i++) {
--- a/packages/fleet/moves.ts
+++ b/packages/fleet/moves.ts
@@ -66,8 +66,9 @@
     const rest: NeedRow[] = [];
     // Room on a machine that comes for one need serves the next ones, too.
     const coming: MovableMachine[] = [];
-    for (const { job, count } of needs) {
-      let wanted = count;
+    for (const need of needs) {
+      const { job } = need;
+      let wanted = need.count;
       const serve = (m: MovableMachine): void => {
         const room = rooms.get(m.host);
         if (!room || wanted === 0 || !suits(job, m)) return;
@@ -87,7 +88,7 @@
         coming.push(m);
         serve(m);
       }
-      if (wanted > 0) rest.push({ job, count: wanted });
+      if (wanted > 0) rest.push({ ...need, count: wanted });
     }
     left.set(owner, rest);
   }
--- a/packages/fleet/planner.ts
+++ b/packages/fleet/planner.ts
@@ -13,8 +13,11 @@
 }
 
 export interface NeedRow {
+  /** For a gang that has to lie in one zone: with the zone in which it is being gathered. */
   job: WaitingJob;
   count: number;
+  /** The zone is not the job's own wish: where nothing can be rented there, another one serves as well. */
+  zoneIsOpen?: boolean;
 }
 
 export interface PlanInput {
@@ -48,7 +51,8 @@
   const plans = new Map<string, RentPlan>();
   const machinesPerZone = new Map(input.machinesPerZone);
   const coming = input.coming.map((c) => ({ ...c, room: { ...c.room } }));
-  for (const { job, count } of input.needs) {
+  for (const need of input.needs) {
+    const { job, count } = settleZone(input, need, coming, machinesPerZone);
     let left = count - serve(coming, job, count);
     while (left > 0) {
       const offer = cheapest(input, job, left, machinesPerZone);
@@ -69,6 +73,36 @@
   return [...plans.values()];
 }
 
+/**
+ * All that is rented for a gang that has to lie in one zone goes to one zone: where it is being gathered, or, if no
+ * machine for it can be had there, where most room for the whole gang is on its way.
+ */
+function settleZone(
+  input: PlanInput,
+  need: NeedRow,
+  coming: readonly Coming[],
+  machinesPerZone: ReadonlyMap<string, number>,
+): NeedRow {
+  const { job, count, zoneIsOpen } = need;
+  if (!job.gang || !job.singleZone || (job.zone !== null && zoneIsOpen !== true)) return need;
+  const isServed = job.zone !== null && slotsComing(coming, job) >= count;
+  if (job.zone !== null && (isServed || cheapest(input, job, count, machinesPerZone))) return need;
+  const zones = new Set(input.types.flatMap((type) => type.zones));
+  const choices = [...zones]
+    .map((zone) => ({ ...job, zone }))
+    .filter((choice) => cheapest(input, choice, choice.waiting, machinesPerZone) !== null)
+    .map((choice) => ({ choice, slots: slotsComing(coming, choice) }))
+    .sort((a, b) => b.slots - a.slots);
+  const best = choices[0]?.choice;
+  return best ? { job: best, count: best.waiting } : need;
+}
+
+function slotsComing(coming: readonly Coming[], job: WaitingJob): number {
+  let sum = 0;
+  for (const machine of coming) if (suits(job, machine)) sum += slots(job.need, machine.room);
+  return sum;
+}
+
 /** How many of a job's tasks the room that is coming will take; it is taken from that room. */
 export function serve(coming: readonly Coming[], job: WaitingJob, count: number): number {
   let left = count;
--- a/packages/fleet/plans.test.ts
+++ b/packages/fleet/plans.test.ts
@@ -19,6 +19,7 @@
       order: 1,
       waiting: 9,
       taskCount: 9,
+      gang: false,
     },
     ...{ machineTypes: null, zone: null, singleZone: false, spreadZones: false, spot: true, image: 'i' },
     placedByZone: new Map(),
--- a/packages/pricing/preempt.test.ts
+++ b/packages/pricing/preempt.test.ts
@@ -13,6 +13,7 @@
     order: 1,
     waiting: 1,
     taskCount: 1,
+    gang: false,
     machineTypes: null,
   },
   ...{ zone: null, singleZone: false, spreadZones: false, spot: true, image: 'i', placedByZone: new Map() },
--- a/packages/pricing/preempt.ts
+++ b/packages/pricing/preempt.ts
@@ -1,4 +1,4 @@
-import { fits, take } from './round.js';
+import { fits, take } from './amounts.js';
 import type { Amounts, WaitingJob } from './types.js';
 
 /** A running task as one that may have to make room. */
@@ -50,7 +50,10 @@
     return open ? [{ ...m, open }] : [];
   });
   for (const { job, count, rank, guaranteed } of requests) {
-    for (let i = 0; i < count; i++) {
+    const chosenBefore = stops.length;
+    const hosts: string[] = [];
+    let found = 0;
+    for (; found < count; found++) {
       let best: { host: string; chosen: Victim[] } | null = null;
       for (const machine of candidates) {
         if (used.has(machine.host) || !machine.allowed(job)) continue;
@@ -67,8 +70,13 @@
       }
       if (!best || stops.length + best.chosen.length > most) break;
       used.add(best.host);
+      hosts.push(best.host);
       stops.push(...best.chosen);
     }
+    if (!job.gang || found === count) continue;
+    // Room for a part of a gang is of no use to it.
+    stops.length = chosenBefore;
+    for (const host of hosts) used.delete(host);
   }
   return stops;
 }
--- /dev/null
+++ b/packages/pricing/reserve.ts
@@ -0,0 +1,32 @@
+/** Keeps room for tasks that need more than comes free at a time. */
+import { type Micros, SECOND } from '#wire';
+import { EPS, fits, nothing } from './amounts.js';
+import type { RoomyMachine, WaitingJob } from './types.js';
+import type { ZoneRule } from './zone-rule.js';
+
+/** Part of a machine stands idle for a larger task, or for a gang, no longer than this. */
+export const KEPT_FOR: Micros = 30 * SECOND;
+
+/**
+ * Machines that could hold one of the tasks, and already have part of the room, take nothing of lower rank until
+ * the rest is free, too. Otherwise small tasks would fill each half as it comes, and a task that needs a whole
+ * machine would wait for ever on a full fleet. Those that are free soonest come first.
+ */
+export function reserve(
+  machines: readonly RoomyMachine[],
+  job: WaitingJob,
+  rule: ZoneRule,
+  count: number,
+): string[] {
+  if (count <= 0) return [];
+  const partly = machines.filter(
+    (m) => m.room.cpus > EPS && !fits(job.need, m.room) && fits(job.need, m.total) && rule.open(m.zone),
+  );
+  const soonest = partly
+    .map((machine) => ({ machine, busyFor: machine.busyFor() }))
+    .filter(({ busyFor }) => busyFor <= KEPT_FOR)
+    .sort((a, b) => a.busyFor - b.busyFor)
+    .slice(0, count);
+  for (const { machine } of soonest) machine.room = nothing();
+  return soonest.map(({ machine }) => machine.host);
+}
--- a/packages/pricing/round.test.ts
+++ b/packages/pricing/round.test.ts
@@ -3,7 +3,9 @@
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { SECOND } from '#wire';
-import { fits, playRound, shapeOf, take } from './round.js';
+import { fits, take } from './amounts.js';
+import { shapeOf } from './pools.js';
+import { playRound } from './round.js';
 import type { RoomyMachine, RoundInput, RoundOptions, WaitingJob } from './types.js';
 
 const OPTIONS: RoundOptions = {
@@ -33,6 +35,7 @@
       order: 1,
       waiting: 1,
       taskCount: 1,
+      gang: false,
     },
     ...{ machineTypes: null, zone: null, singleZone: false, spreadZones: false, spot: true, image: 'img-1' },
     placedByZone: new Map(),
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -1,54 +1,11 @@
-import { type Micros, SECOND } from '#wire';
-import type {
-  Amounts,
-  Price,
-  RoomyMachine,
-  RoundInput,
-  RoundOptions,
-  RoundResult,
-  WaitingJob,
-} from './types.js';
-
-/** Tolerance for sums of decimal amounts. */
-const EPS = 1e-6;
-
-/** Part of a machine stands idle for a larger task no longer than this. */
-const KEPT_FOR: Micros = 30 * SECOND;
-
-/** A shape: machines of one type and kind, priced together. Spot ones are a shape apart. */
-export function shapeOf(machineType: string, spot: boolean): string {
-  return spot ? `${machineType}+` : machineType;
-}
-
-export function fits(need: Amounts, room: Amounts): boolean {
-  return need.cpus <= room.cpus + EPS && need.gpus <= room.gpus + EPS && need.memGb <= room.memGb + EPS;
-}
-
-/** How many tasks of this need fit into the room. */
-export function slots(need: Amounts, room: Amounts): number {
-  let count = Infinity;
-  if (need.cpus > 0) count = Math.min(count, (room.cpus + EPS) / need.cpus);
-  if (need.gpus > 0) count = Math.min(count, (room.gpus + EPS) / need.gpus);
-  if (need.memGb > 0) count = Math.min(count, (room.memGb + EPS) / need.memGb);
-  return Math.max(0, Math.floor(count));
-}
-
-export function take(room: Amounts, need: Amounts, times: number): void {
-  room.cpus -= need.cpus * times;
-  room.gpus -= need.gpus * times;
-  room.memGb -= need.memGb * times;
-}
-
-interface Pool {
-  shape: string;
-  machineType: string;
-  spot: boolean;
-  machines: RoomyMachine[];
-  room: Amounts;
-  total: Amounts;
-  price: Price;
-  upkeep: number;
-}
+/** One round of the design: prices every shape, then places what waits. */
+import { EPS, fits, nothing, slots, take } from './amounts.js';
+import { fill } from './fill.js';
+import { placeGang } from './gang.js';
+import { type Pool, poolByShape } from './pools.js';
+import { reserve } from './reserve.js';
+import type { Amounts, RoundInput, RoundOptions, RoundResult, WaitingJob } from './types.js';
+import { ZoneRule } from './zone-rule.js';
 
 /** Tasks of one job that rank alike: those within their team's guarantee, or those beyond it. */
 interface Segment {
@@ -66,25 +23,6 @@
   return place(input, pools, segments, top);
 }
 
-function poolByShape(machines: readonly RoomyMachine[], prices: ReadonlyMap<string, Price>): Pool[] {
-  const pools = new Map<string, Pool>();
-  for (const machine of machines) {
-    const shape = shapeOf(machine.machineType, machine.spot);
-    let pool = pools.get(shape);
-    if (!pool) {
-      const price = { ...(prices.get(shape) ?? { cpu: 0, gpu: 0, mem: 0 }) };
-      const { machineType, spot, upkeep } = machine;
-      pool = { shape, machineType, spot, upkeep, machines: [], room: nothing(), total: nothing(), price };
-      pools.set(shape, pool);
-    }
-    pool.machines.push({ ...machine, room: { ...machine.room } });
-    take(pool.room, machine.room, -1);
-    take(pool.total, machine.total, -1);
-  }
-  // Cheapest first: of shapes of equal utility the first is chosen.
-  return [...pools.values()].sort((a, b) => a.upkeep - b.upkeep || (a.shape < b.shape ? -1 : 1));
-}
-
 /**
  * Splits what waits into segments and leaves out what lies beyond its team's limit. A team's jobs come in
  * the order of their priority, equal ones in the order in which they were accepted.
@@ -108,9 +46,11 @@
     const queue = input.jobs.filter((j) => j.team === team.name);
     queue.sort((a, b) => rank(b) - rank(a) || a.order - b.order);
     for (const job of queue) {
-      const count = Math.min(job.waiting, slots(job.need, left));
-      const guaranteed = Math.min(count, slots(job.need, safe));
-      take(left, job.need, count);
+      const fitting = Math.min(job.waiting, slots(job.need, left));
+      const count = countable(job, fitting);
+      const guaranteed = countable(job, Math.min(count, slots(job.need, safe)));
+      // A gang that the limit has no room for yet holds back what ranks lower: one by one it would never get any.
+      take(left, job.need, job.gang ? job.waiting : count);
       take(safe, job.need, count);
       if (guaranteed > 0) {
         segments.push({ job, priority: rank(job) + guaranteeWeight * top, count: guaranteed });
@@ -121,6 +61,11 @@
   return segments;
 }
 
+/** How many of so many fitting tasks are of use: of a gang all or none. */
+function countable(job: WaitingJob, fitting: number): number {
+  return job.gang && fitting < job.waiting ? 0 : fitting;
+}
+
 function allowed(job: WaitingJob, pool: Pool): boolean {
   if (pool.spot && !job.spot) return false;
   if (job.machineTypes && !job.machineTypes.includes(pool.machineType)) return false;
@@ -168,141 +113,77 @@
   }
 }
 
-function place(input: RoundInput, pools: Pool[], segments: Segment[], top: number): RoundResult {
-  const { options, random } = input;
-  const starts: RoundResult['starts'] = [];
-  const unmet = new Map<string, number>();
-  const kept = new Set<string>();
-  const zones = new Map<string, ZoneRule>();
+/** A segment with the shapes open to it, best first, and its net utility on the best. */
+interface RankedSegment {
+  segment: Segment;
+  open: Pool[];
+  best: number;
+}
+
+/**
+ * The order of placement: by net utility for each task. A gang is one candidate with the summed demand of its tasks;
+ * of candidates that rank alike the larger one goes first, since it is the harder to place.
+ */
+function rankSegments(
+  pools: readonly Pool[],
+  segments: readonly Segment[],
+  top: number,
+  options: RoundOptions,
+): RankedSegment[] {
   const ranked = segments.map((segment) => {
     const open = pools
       .filter((pool) => allowed(segment.job, pool))
       .map((pool) => ({ pool, u: utility(segment, pool, top, options) }))
       .sort((a, b) => (Math.abs(b.u - a.u) > EPS ? b.u - a.u : a.pool.upkeep - b.pool.upkeep));
-    return { segment, open, best: open[0]?.u ?? -Infinity };
+    return { segment, open: open.map(({ pool }) => pool), best: open[0]?.u ?? -Infinity };
   });
-  ranked.sort((a, b) => b.best - a.best || a.segment.job.order - b.segment.job.order);
-  for (const { segment, open } of ranked) {
-    const { job } = segment;
-    let rule = zones.get(job.id);
-    if (!rule) zones.set(job.id, (rule = new ZoneRule(job, input.machines)));
-    let left = segment.count;
-    for (const { pool } of open) {
-      if (left === 0 || starts.length >= options.mostStarts) break;
-      const roomy = pool.machines.filter((m) => rule.open(m.zone) && fits(job.need, m.room));
-      // A machine that has the image starts the task at once: the random choice is among those first.
-      const warm = roomy.filter((m) => m.warm.includes(job.image));
-      const cold = roomy.filter((m) => !m.warm.includes(job.image));
-      for (const group of [warm, cold]) {
-        while (left > 0 && group.length > 0 && starts.length < options.mostStarts) {
-          const at = tightest(group, random, options.choices);
-          const machine = group[at] as RoomyMachine;
-          if (!rule.open(machine.zone) || !fits(job.need, machine.room)) {
-            group[at] = group[group.length - 1] as RoomyMachine;
-            group.pop();
-            continue;
-          }
-          take(machine.room, job.need, 1);
-          rule.placed(machine.zone);
-          starts.push({ job: job.id, host: machine.host });
-          left--;
-        }
+  const gangSize = ({ job }: Segment): number => (job.gang ? job.waiting : 0);
+  return ranked.sort(
+    (a, b) =>
+      b.best - a.best ||
+      gangSize(b.segment) - gangSize(a.segment) ||
+      a.segment.job.order - b.segment.job.order,
+  );
+}
+
+function place(input: RoundInput, pools: Pool[], segments: Segment[], top: number): RoundResult {
+  const { options, random } = input;
+  const starts: RoundResult['starts'] = [];
+  const unmet = new Map<string, number>();
+  const kept = new Set<string>();
+  const gatheringZones = new Map<string, string>();
+  const zones = new Map<string, ZoneRule>();
+  const fillOptions = { random, choices: options.choices };
+  for (const { segment, open } of rankSegments(pools, segments, top, options)) {
+    const { job, count } = segment;
+    const startsLeft = options.mostStarts - starts.length;
+    if (job.gang) {
+      // One that is larger than a whole round's starts has a round to itself.
+      if (count > startsLeft && starts.length > 0) continue;
+      const placement = placeGang(job, open, fillOptions);
+      if (placement.kind === 'placed') {
+        for (const { host } of placement.machines) starts.push({ job: job.id, host });
+        continue;
       }
+      unmet.set(job.id, placement.missing);
+      if (placement.zone !== null) gatheringZones.set(job.id, placement.zone);
+      for (const host of placement.kept) kept.add(host);
+      continue;
     }
+    let rule = zones.get(job.id);
+    if (!rule) zones.set(job.id, (rule = new ZoneRule(job, input.machines)));
+    const machines = fill(job, open, rule, Math.min(count, Math.max(0, startsLeft)), fillOptions);
+    for (const { host } of machines) starts.push({ job: job.id, host });
+    let left = count - machines.length;
     if (left === 0) continue;
     unmet.set(job.id, (unmet.get(job.id) ?? 0) + left);
-    for (const { pool } of open) {
+    for (const pool of open) {
       const hosts = reserve(pool.machines, job, rule, left);
       left -= hosts.length;
       for (const host of hosts) kept.add(host);
     }
   }
   const left = new Map(pools.flatMap((p) => p.machines.map((m) => [m.host, m.room])));
-  return { starts, prices: new Map(pools.map((p) => [p.shape, p.price])), unmet, left, kept };
-}
-
-/**
- * Keeps room for tasks that need more than comes free at a time: machines that could hold one, and already have
- * part of the room, take nothing of lower rank until the rest is free, too. Otherwise small tasks would fill
- * each half as it comes, and a task that needs a whole machine would wait for ever on a full fleet. Those that
- * are free soonest come first.
- */
-function reserve(
-  machines: readonly RoomyMachine[],
-  job: WaitingJob,
-  rule: ZoneRule,
-  count: number,
-): string[] {
-  if (count <= 0) return [];
-  const partly = machines.filter(
-    (m) => m.room.cpus > EPS && !fits(job.need, m.room) && fits(job.need, m.total) && rule.open(m.zone),
-  );
-  const soonest = partly
-    .map((machine) => ({ machine, busyFor: machine.busyFor() }))
-    .filter(({ busyFor }) => busyFor <= KEPT_FOR)
-    .sort((a, b) => a.busyFor - b.busyFor)
-    .slice(0, count);
-  for (const { machine } of soonest) machine.room = nothing();
-  return soonest.map(({ machine }) => machine.host);
-}
-
-/**
- * Of some random roomy machines the one with least room left: whole machines stay free for large tasks, and
- * idle ones can be returned.
- */
-function tightest(group: readonly RoomyMachine[], random: () => number, choices: number): number {
-  let best = Math.floor(random() * group.length);
-  for (let i = 1; i < choices; i++) {
-    const other = Math.floor(random() * group.length);
-    if (filled(group[other]) > filled(group[best])) best = other;
-  }
-  return best;
-}
-
-function filled(machine: RoomyMachine | undefined): number {
-  return machine && machine.total.cpus > 0 ? 1 - machine.room.cpus / machine.total.cpus : 0;
-}
-
-/** Which zones a job's next task may go to, given where its other tasks are at this moment. */
-class ZoneRule {
-  private readonly counts: Map<string, number>;
-  private readonly half: number;
-  private readonly only: string | null;
-
-  constructor(
-    private readonly job: WaitingJob,
-    machines: readonly RoomyMachine[],
-  ) {
-    this.counts = new Map(job.placedByZone);
-    this.half = Math.ceil(job.taskCount / 2);
-    this.only = job.singleZone && this.counts.size === 0 ? roomiest(job, machines) : null;
-  }
-
-  open(zone: string): boolean {
-    const { job, counts } = this;
-    if (job.zone !== null && zone !== job.zone) return false;
-    if (job.singleZone) {
-      if (this.only !== null ? zone !== this.only : !counts.has(zone)) return false;
-    }
-    return !job.spreadZones || (counts.get(zone) ?? 0) < this.half;
-  }
-
-  placed(zone: string): void {
-    this.counts.set(zone, (this.counts.get(zone) ?? 0) + 1);
-  }
-}
-
-/** The zone with room for most of the job's tasks; a job tied to one zone starts there. */
-function roomiest(job: WaitingJob, machines: readonly RoomyMachine[]): string | null {
-  const room = new Map<string, number>();
-  for (const m of machines) {
-    const usable = (job.spot || !m.spot) && (job.machineTypes?.includes(m.machineType) ?? true);
-    if (!usable || (job.zone !== null && job.zone !== m.zone)) continue;
-    room.set(m.zone, (room.get(m.zone) ?? 0) + slots(job.need, m.room));
-  }
-  return [...room].sort((a, b) => b[1] - a[1])[0]?.[0] ?? null;
-}
-
-function nothing(): Amounts {
-  return { cpus: 0, gpus: 0, memGb: 0 };
+  const prices = new Map(pools.map((p) => [p.shape, p.price]));
+  return { starts, prices, unmet, gatheringZones, left, kept };
 }
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -23,6 +23,8 @@
   order: number;
   waiting: number;
   taskCount: number;
+  /** All that waits is placed in one round, or nothing is. */
+  gang: boolean;
   machineTypes: readonly string[] | null;
   zone: string | null;
   singleZone: boolean;
@@ -86,6 +88,8 @@
   prices: Map<string, Price>;
   /** Tasks within their team's limit that found no roomy machine. */
   unmet: Map<string, number>;
+  /** By gang that found no room and has to lie in one zone: the zone that serves it best. */
+  gatheringZones: Map<string, string>;
   /** Room left on each machine. */
   left: Map<string, Amounts>;
   /** Machines that are kept for tasks which need more room than they have yet. */
--- a/packages/settings/index.ts
+++ b/packages/settings/index.ts
@@ -10,6 +10,9 @@
 const text = z.string().check(z.minLength(1));
 const positive = z.number().check(z.positive());
 const atLeastZero = z.number().check(z.nonnegative());
+/** What holds where a settings file says nothing of gangs. */
+const DEFAULT_GANG_WAIT_S = 50;
+const DEFAULT_GANG_PEER_S = 5;
 const whole = z.coerce.number().check(z.int(), z.positive());
 
 const schema = z.object({
@@ -43,8 +46,24 @@
       ),
       [],
     ),
-    workers: z.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-    state: z.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole }),
+    workers: z.object({
+      report_s: positive,
+      lease_s: positive,
+      cancel_s: positive,
+      gang_wait_s: z._default(positive, DEFAULT_GANG_WAIT_S),
+      gang_peer_s: z._default(positive, DEFAULT_GANG_PEER_S),
+    }),
+    state: z.object({
+      ...{ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole },
+      next: z.optional(
+        z.object({
+          rps: z.optional(positive),
+          write_rps: z.optional(positive),
+          value_kb: z.optional(positive),
+          txn_ops: z.optional(whole),
+        }),
+      ),
+    }),
     cloud: z.object({ rps: positive, list_lag_s: atLeastZero }),
     machine_limits: z.object({ cpu: positive, mem_mb: positive, sockets: whole }),
   }),
@@ -89,6 +108,11 @@
   report: Micros;
   lease: Micros;
   cancel: Micros;
+  /** For how long a gang's tasks wait for each other. */
+  gangWait: Micros;
+  /** Within what time a gang's tasks notice that one of them is gone, and all of them must be told to stop. */
+  gangPeer: Micros;
+  /** Limits of the state service: the smaller ones of those in force and of those it will have at some time. */
   stateRps: number;
   stateWriteRps: number;
   valueBytes: number;
@@ -111,6 +135,7 @@
     throw new SettingsError(`${issue?.path.map(String).join('.') ?? '?'}: ${issue?.message ?? 'invalid'}`);
   }
   const { facts, ...own } = result.data;
+  const { next } = facts.state;
   return {
     member: own.member,
     domain: own.domain,
@@ -137,16 +162,23 @@
     report: fromSeconds(facts.workers.report_s),
     lease: fromSeconds(facts.workers.lease_s),
     cancel: fromSeconds(facts.workers.cancel_s),
-    stateRps: facts.state.rps,
-    stateWriteRps: facts.state.write_rps,
-    valueBytes: Math.floor(facts.state.value_kb * 1024),
-    txnOps: facts.state.txn_ops,
+    gangWait: fromSeconds(facts.workers.gang_wait_s),
+    gangPeer: fromSeconds(facts.workers.gang_peer_s),
+    stateRps: smaller(facts.state.rps, next?.rps),
+    stateWriteRps: smaller(facts.state.write_rps, next?.write_rps),
+    valueBytes: Math.floor(smaller(facts.state.value_kb, next?.value_kb) * 1024),
+    txnOps: smaller(facts.state.txn_ops, next?.txn_ops),
     cloudRps: facts.cloud.rps,
     listLag: fromSeconds(facts.cloud.list_lag_s),
     sockets: facts.machine_limits.sockets,
   };
 }
 
+/** The limit that holds now and will hold later, too: it may fall at any moment, without notice. */
+function smaller(present: number, later: number | undefined): number {
+  return Math.min(present, later ?? present);
+}
+
 /**
  * "0 means none": a guest team has neither a guarantee nor a limit. Where CPUs are limited, no GPUs are allowed
  * by 0 of them: a limit kept too strictly breaks no rule.
--- a/packages/store/index.ts
+++ b/packages/store/index.ts
@@ -1,6 +1,7 @@
 import { type Caller, type Count, type Fields, isFields, type Method, type Micros, MS, SECOND } from '#wire';
 
 export * from './pace.js';
+export * from './write-limits.js';
 
 /** The state service's own page calls them `Path`, `V`, `Stamp`, `Permit`, `Epoch`. */
 export interface Row {
@@ -30,6 +31,16 @@
   | { kind: 'not_executed'; status: number }
   | { kind: 'unknown' };
 
+/** The write is larger than the state service takes, now that its limits may have fallen. */
+export function isTooLarge(result: CommitResult): boolean {
+  return result.kind === 'not_executed' && result.status === 400;
+}
+
+/** Changes come faster than the state service takes them. */
+export function isTooFast(result: CommitResult): boolean {
+  return result.kind === 'not_executed' && result.status === 429;
+}
+
 /** An answer that isn't the one asked for: over the limits, an outage, or none at all (status 0). */
 export class StoreError extends Error {
   constructor(readonly status: number) {
--- a/packages/store/pace.ts
+++ b/packages/store/pace.ts
@@ -25,6 +25,11 @@
   }
 }
 
+/** How much slower a kind of request gets with each refusal, how slow at most, and when that is over. */
+const SLOWER = 0.7;
+const LEAST_FACTOR = 0.25;
+const RECOVERY: Micros = 20 * SECOND;
+
 /**
  * Keeps a kind of request within its part of what the state service allows: tokens come at a rate, and up to a
  * second's worth of them is saved for a burst. A large commit may run into debt that the next one waits for.
@@ -32,6 +37,8 @@
 export class Pace {
   private tokens: number;
   private at: Micros;
+  /** When a request of this kind was last refused for coming too fast, and by how much that slowed it. */
+  private slowed: { at: Micros; factor: number } = { at: -Infinity, factor: 1 };
   private readonly taken: Meter;
 
   constructor(
@@ -56,8 +63,20 @@
     return this.tokens >= 1 ? 0 : Math.ceil(((1 - this.tokens) / this.rate()) * SECOND);
   }
 
+  /** One came too fast although it kept to its part: the limit has fallen, or others take more than theirs. */
+  refused(): void {
+    this.slowed = { at: this.clock.now(), factor: Math.max(LEAST_FACTOR, this.factor() * SLOWER) };
+  }
+
+  /** What refusals leave of the rate: all of it again after a while without any. */
+  private factor(): number {
+    const { at, factor } = this.slowed;
+    if (factor === 1) return 1;
+    return Math.min(1, factor + ((1 - factor) * (this.clock.now() - at)) / RECOVERY);
+  }
+
   private rate(): number {
-    return this.rateFor(this.taken.rate());
+    return this.rateFor(this.taken.rate()) * this.factor();
   }
 
   private fill(): void {
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -60,6 +60,8 @@
     report: 2 * SECOND,
     lease: 9 * SECOND,
     cancel: 25 * SECOND,
+    gangWait: 20 * SECOND,
+    gangPeer: 3 * SECOND,
     stateRps: 100,
     stateWriteRps: 40,
     valueBytes: 2048,
--- a/packages/wire/messages.ts
+++ b/packages/wire/messages.ts
@@ -10,12 +10,15 @@
 export const RANKS = ['best_effort', 'normal', 'urgent', 'prod'] as const;
 export type Rank = (typeof RANKS)[number];
 
+/** `array`: independent tasks. `gang`: all tasks of the job run at the same time, or none does. */
+export type JobShape = 'array' | 'gang';
+
 /** A job as its user submitted it. */
 export interface JobSpec {
   id: string;
   jobClass: string;
   team: string;
-  shape: 'array';
+  shape: JobShape;
   rank: Rank;
   taskCount: number;
   cpus: number;
@@ -45,10 +48,14 @@
   running?: number;
 }
 
-/** `fetching`: waiting for its image. */
-export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
-/** Why a task ended; the last three: its start was refused. */
-export type ExitCause = 'done' | 'stopped' | 'failed' | 'no_room' | 'duplicate' | 'unknown_task';
+/** `fetching`: waiting for its image. `gathering`: a gang's task that waits for the others of its attempt. */
+export type TaskState = 'fetching' | 'gathering' | 'running' | 'saving' | 'exited';
+/**
+ * Why a task ended. `peer_gone`: another task of its gang is gone. `gang_incomplete`: its gang did not come
+ * together in time. The last three: its start was refused.
+ */
+export type ExitCause =
+  'done' | 'stopped' | 'failed' | 'peer_gone' | 'gang_incomplete' | 'no_room' | 'duplicate' | 'unknown_task';
 
 /** One task on a machine, as its worker reports it. */
 export interface TaskReport {
--- a/packages/wire/report.ts
+++ b/packages/wire/report.ts
@@ -4,6 +4,7 @@
 
 const TASK_STATES = new Map<unknown, TaskState>([
   ['pulling', 'fetching'],
+  ['gathering', 'gathering'],
   ['running', 'running'],
   ['saving', 'saving'],
   ['exited', 'exited'],
@@ -13,6 +14,8 @@
   ['done', 'done'],
   ['halted', 'stopped'],
   ['error', 'failed'],
+  ['peers', 'peer_gone'],
+  ['alone', 'gang_incomplete'],
   ['full', 'no_room'],
   ['in_use', 'duplicate'],
   ['unknown', 'unknown_task'],
--- a/packages/wire/submission.ts
+++ b/packages/wire/submission.ts
@@ -1,5 +1,11 @@
 import { type Fields, isFields } from './codec.js';
-import { isJobId, MAX_TASKS, RANKS, type Rank, type JobSpec } from './messages.js';
+import { isJobId, MAX_TASKS, RANKS, type Rank, type JobShape, type JobSpec } from './messages.js';
+
+const SHAPE_NAMES: Record<JobShape, string> = { array: 'array', gang: 'ensemble' };
+const SHAPES = new Map<unknown, JobShape>([
+  [SHAPE_NAMES.array, 'array'],
+  [SHAPE_NAMES.gang, 'gang'],
+]);
 
 const absent = (v: unknown): boolean => v === null || v === undefined;
 const text = (v: unknown): v is string => typeof v === 'string' && v.length > 0 && v.length <= 200;
@@ -14,11 +20,12 @@
 export function parseSubmission(body: unknown): { job: JobSpec } | { invalid: string } {
   if (!isFields(body)) return { invalid: 'body' };
   const b = body;
+  const shape = SHAPES.get(b['Shape']);
   const need: [string, boolean][] = [
     ['Uid', isJobId(b['Uid'])],
     ['Lane', text(b['Lane'])],
     ['Crew', text(b['Crew'])],
-    ['Shape', b['Shape'] === 'array'],
+    ['Shape', shape !== undefined],
     ['Rank', RANKS.includes(b['Rank'] as Rank)],
     ['Pieces', Number.isInteger(Number(b['Pieces'])) && amount(b['Pieces']) && inRange(Number(b['Pieces']))],
     ['Cpus', amount(b['Cpus'])],
@@ -37,13 +44,13 @@
     ['DueS', absent(b['DueS']) || amount(b['DueS'])],
   ];
   const bad = need.find(([, ok]) => !ok);
-  if (bad) return { invalid: bad[0] };
+  if (bad || shape === undefined) return { invalid: bad?.[0] ?? 'Shape' };
   return {
     job: {
       id: b['Uid'] as string,
       jobClass: b['Lane'] as string,
       team: b['Crew'] as string,
-      shape: 'array',
+      shape,
       rank: b['Rank'] as Rank,
       taskCount: Number(b['Pieces']),
       cpus: Number(b['Cpus']),
@@ -70,7 +77,7 @@
     Uid: job.id,
     Lane: job.jobClass,
     Crew: job.team,
-    Shape: job.shape,
+    Shape: SHAPE_NAMES[job.shape],
     Rank: job.rank,
     Pieces: job.taskCount,
     Cpus: job.cpus,
--- a/packages/workers/worker-registry.ts
+++ b/packages/workers/worker-registry.ts
@@ -169,8 +169,12 @@
       }
       const reported = new Map(session.report.tasks.map((p) => [p.task, p]));
       for (const placement of ledger.placementsOn(host)) {
-        const outcome = this.outcome(placement, session, reported.get(placement.taskName), jobs, now);
-        if (outcome) endings.push({ placement, outcome });
+        const reportedTask = reported.get(placement.taskName);
+        const outcome = this.outcome(placement, session, reportedTask, ledger, jobs, now);
+        if (!outcome) continue;
+        endings.push({ placement, outcome });
+        // A late commit may yet make its gang whole while this end is on its way to the log: it stays unwanted.
+        if (outcome === 'undelivered') this.stop(placement, 0);
       }
     }
     return endings;
@@ -189,7 +193,12 @@
       if (p.state === 'exited') {
         // Once told to forget it the worker doesn't know the attempt any more: only after its end is in the log.
         if (!placement) commands.push({ kind: 'forget', task, attempt });
-      } else if (!placement || !jobs.has(placement.job)) {
+      } else if (
+        !placement ||
+        !jobs.has(placement.job) ||
+        (!ledger.isWhole(placement) && p.state !== 'saving')
+      ) {
+        // What is left of a gang that lost a task can do nothing more; one that saves ends by itself.
         commands.push({ kind: 'stop', task, attempt, graceS: 0 });
       } else if (this.isStopping(placement) && p.state !== 'saving') {
         commands.push({ kind: 'stop', task, attempt, graceS: this.stops.get(task)?.graceS ?? 0 });
@@ -197,7 +206,7 @@
     }
     if (!fresh) return commands;
     for (const placement of ledger.placementsOn(host)) {
-      if (seen.has(placement.taskName) || !this.wanted(placement, session, jobs)) continue;
+      if (seen.has(placement.taskName) || !this.wanted(placement, session, ledger, jobs)) continue;
       if (!sameCount(placement.session, session.report.session)) continue;
       session.launched.add(attemptKey(placement.taskName, placement.attempt));
       commands.push({ kind: 'start', task: placement.taskName, attempt: placement.attempt });
@@ -205,15 +214,25 @@
     return commands;
   }
 
-  /** A start is wanted until its job is over, its machine is to go, or it was told to stop; never again after. */
-  private wanted(placement: Placement, session: Session, jobs: ReadonlyMap<string, LiveJob>): boolean {
-    return jobs.has(placement.job) && session.recallAt === null && !this.isStopping(placement);
+  /**
+   * A start is wanted until its job is over, its machine is to go, or it was told to stop; never again after. One of
+   * a gang is wanted while nothing of the gang is missing: once one task has ended, nothing joins that attempt again.
+   */
+  private wanted(
+    placement: Placement,
+    session: Session,
+    ledger: Ledger,
+    jobs: ReadonlyMap<string, LiveJob>,
+  ): boolean {
+    if (!jobs.has(placement.job) || session.recallAt !== null) return false;
+    return !this.isStopping(placement) && ledger.isWhole(placement);
   }
 
   private outcome(
     placement: Placement,
     session: Session,
-    taskName: TaskReport | undefined,
+    task: TaskReport | undefined,
+    ledger: Ledger,
     jobs: ReadonlyMap<string, LiveJob>,
     now: Micros,
   ): Outcome | null {
@@ -222,15 +241,16 @@
       // The worker killed and forgot all tasks of its earlier sessions.
       return placement.session < report.session ? 'lost' : null;
     }
-    const present = taskName !== undefined && sameCount(taskName.attempt, placement.attempt);
-    if (present && taskName.state === 'exited') return outcomeOf(taskName.cause ?? 'failed');
+    const present = task !== undefined && sameCount(task.attempt, placement.attempt);
+    if (present && task.state === 'exited') return outcomeOf(task.cause ?? 'failed');
     if (this.leaseOver(placement.host, session, now)) return 'lost';
     if (present) return null;
     // Absent from the newest report of a worker that obeys our token only: no answer to an earlier report can
     // still take effect, and the answer to this one carried no start of it. If it isn't wanted any more, it is
     // off for good.
     const launched = session.launched.has(attemptKey(placement.taskName, placement.attempt));
-    if (session.acknowledged && !launched && !this.wanted(placement, session, jobs)) return 'undelivered';
+    if (session.acknowledged && !launched && !this.wanted(placement, session, ledger, jobs))
+      return 'undelivered';
     return null;
   }
 
@@ -274,6 +294,9 @@
     case 'stopped':
     case 'failed':
       return cause;
+    case 'peer_gone':
+    case 'gang_incomplete':
+      return 'stopped';
     case 'no_room':
     case 'duplicate':
     case 'unknown_task':
