--- a/packages/testkit/chaos.test.ts
+++ b/packages/testkit/chaos.test.ts
@@ -11,7 +11,29 @@
   return items[Math.floor(random() * items.length)] as T;
 }
 
+/** How many of the jobs are gangs. */
+const GANGS = 0.25;
+
+function randomGang(random: () => number, n: number): JobSpec {
+  return sampleJob(`j-${String(n).padStart(6, '0')}`, {
+    shape: 'gang',
+    jobClass: 'joint',
+    team: pick(random, ['blue', 'green']),
+    rank: pick(random, RANKS),
+    taskCount: 2 + Math.floor(random() * 4),
+    cpus: pick(random, [1, 2]),
+    memGb: pick(random, [1, 4]),
+    image: pick(random, ['img-1', 'img-2']),
+    singleZone: random() < 0.6,
+    allowsSpot: random() < 0.5,
+    estimateS: 4 + random() * 12,
+    checkpointS: random() < 0.5 ? 3 : 0,
+    saveS: 1,
+  });
+}
+
 function randomJob(random: () => number, n: number): JobSpec {
+  if (random() < GANGS) return randomGang(random, n);
   const pieces = 1 + Math.floor(random() * 6);
   return sampleJob(`j-${String(n).padStart(6, '0')}`, {
     team: pick(random, ['blue', 'green']),
@@ -324,6 +346,7 @@
 for (let seed = FROM; seed < FROM + RUNS; seed++) {
   test(`rules hold and work ends under random troubles, seed ${seed}`, async (t) => {
     const world = await chaos(seed, met);
+    t.diagnostic(`${world.gangs.starts} gangs came together`);
     t.diagnostic(`${world.rules.startsAfterConfirmation} of ${world.rules.starts} after a confirmation`);
     assert.ok(world.rules.starts > 20, `only ${world.rules.starts} starts`);
     assert.deepEqual(world.rules.unfinished(), []);
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -28,6 +28,7 @@
 import { LedgerAgreement } from './agreement.js';
 import { BrokenRule, type FreeRoom, RuleChecker, sampleJob } from './rules.js';
 import { type Gate, SimClock } from './sim-clock.js';
+import { SimGangs } from './sim-gang.js';
 import { type CloudHost, SimCloud } from './sim-cloud.js';
 import { SimNet } from './sim-net.js';
 import { SimStore } from './sim-store.js';
@@ -125,6 +126,7 @@
   readonly store: SimStore;
   readonly cloud: SimCloud;
   readonly rules: RuleChecker;
+  readonly gangs: SimGangs;
   private readonly agreement = new LedgerAgreement();
   readonly workers = new Map<string, SimWorker>();
   readonly specs = new Map<string, JobSpec>();
@@ -168,6 +170,7 @@
     };
     const limits = new Map(settings.teams.map((t) => [t.name, { cpus: t.cpusMax, gpus: t.gpusMax }]));
     this.rules = new RuleChecker(limits, options.promisedCancel ?? settings.cancel);
+    this.gangs = new SimGangs(this.clock, this.random, { wait: settings.gangWait, peer: settings.gangPeer });
     this.rules.onEvent = (event) => {
       this.onEvent(event);
     };
@@ -383,6 +386,7 @@
       clock: this.clock,
       random: this.random,
       rules: this.rules,
+      gangs: this.gangs,
       job: (id) => this.specs.get(id),
       nodes: this.nodes.map((n) => ({ member: `node-${n.index}`, endpoint: `10.0.0.${n.index}:80` })),
       caller: (gate) => this.net.caller(host.host, host.zone, gate),
