--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,6 @@
 import tseslint from 'typescript-eslint';
 
-export default tseslint.config({ ignores: ['target/', 'node_modules/'] }, ...tseslint.configs.strict, {
+export default tseslint.config({ ignores: ['target/', 'node_modules/', 'packages/testkit/fixtures/'] }, ...tseslint.configs.strict, {
   rules: {
     eqeqeq: 'error',
     'no-useless-rename': 'error',
--- /dev/null
+++ b/packages/testkit/random-jobs.ts
@@ -0,0 +1,58 @@
+/** Jobs for random runs of a deployment. */
+import type { JobSpec, Rank } from '#wire';
+import { sampleJob } from './rules.js';
+
+const RANKS: Rank[] = ['best_effort', 'normal', 'urgent', 'prod'];
+
+/** One of the items. */
+export function pick<T>(random: () => number, items: readonly T[]): T {
+  return items[Math.floor(random() * items.length)] as T;
+}
+
+/** How many of the jobs are gangs. */
+const GANGS = 0.25;
+
+/** A gang that fits into its team's limit. */
+export function randomGang(random: () => number, n: number): JobSpec {
+  return sampleJob(`j-${String(n).padStart(6, '0')}`, {
+    shape: 'gang',
+    jobClass: 'joint',
+    team: pick(random, ['blue', 'green']),
+    rank: pick(random, RANKS),
+    taskCount: 2 + Math.floor(random() * 4),
+    cpus: pick(random, [1, 2]),
+    memGb: pick(random, [1, 4]),
+    image: pick(random, ['img-1', 'img-2']),
+    singleZone: random() < 0.6,
+    allowsSpot: random() < 0.5,
+    estimateS: 4 + random() * 12,
+    checkpointS: random() < 0.5 ? 3 : 0,
+    saveS: 1,
+  });
+}
+
+/** An array or a gang as some user might submit it. */
+export function randomJob(random: () => number, n: number): JobSpec {
+  return random() < GANGS ? randomGang(random, n) : randomArray(random, n);
+}
+
+/** Independent tasks. */
+export function randomArray(random: () => number, n: number): JobSpec {
+  const pieces = 1 + Math.floor(random() * 6);
+  return sampleJob(`j-${String(n).padStart(6, '0')}`, {
+    team: pick(random, ['blue', 'green']),
+    rank: pick(random, RANKS),
+    taskCount: pieces,
+    cpus: pick(random, [1, 2, 4]),
+    memGb: pick(random, [1, 4, 14]),
+    image: pick(random, ['img-1', 'img-2']),
+    machineTypes: random() < 0.2 ? ['large'] : null,
+    zone: random() < 0.15 ? pick(random, ['east', 'west']) : null,
+    singleZone: random() < 0.2,
+    spreadZones: random() < 0.2,
+    allowsSpot: random() < 0.7,
+    estimateS: 2 + random() * 12,
+    checkpointS: random() < 0.3 ? 3 : 0,
+    saveS: 1,
+  });
+}
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -26,6 +26,7 @@
 } from '#wire';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { LedgerAgreement } from './agreement.js';
+import type { ProductionVersion } from './production-version.js';
 import { BrokenRule, type FreeRoom, RuleChecker, sampleJob } from './rules.js';
 import { type Gate, SimClock } from './sim-clock.js';
 import { SimGangs } from './sim-gang.js';
@@ -89,6 +90,8 @@
   controller: Controller | null;
   index: number;
   life: Life;
+  /** Its process comes back with the version in production. */
+  isOld: boolean;
 }
 
 /** One start of a node's process. */
@@ -112,6 +115,8 @@
   capacity?: number;
   /** Rows that the state service puts into one answer to a list request. */
   pageRows?: number;
+  /** Runs nodes of the version in production until they are upgraded, with these settings beside the sample's. */
+  production?: { version: ProductionVersion; settings?: Partial<Settings> };
   /** `cancel_s` as users were promised it, where the controllers are to be told another. */
   promisedCancel?: Micros;
 }
@@ -191,7 +196,8 @@
     this.net.serve(STATE, null, (...args) => this.guarded(() => this.store.handler(...args)));
     this.net.serve(CLOUD, null, this.cloud.handler);
     for (let i = 0; i < (options.nodes ?? 3); i++) {
-      this.nodes.push({ controller: null, index: i, life: { on: false, thaws: 0 } });
+      const isOld = options.production !== undefined;
+      this.nodes.push({ controller: null, index: i, life: { on: false, thaws: 0 }, isOld });
       this.startNode(i);
     }
   }
@@ -225,10 +231,12 @@
     node.life = life;
     const gate = this.gateOf(life);
     const settings = this.settingsOf(index);
+    const old = node.isOld ? this.options.production : undefined;
     const drift = (this.random() - 0.5) * 0.001;
     const wallOff = Math.floor((this.random() - 0.5) * 100 * MS);
-    const controller = new Controller({
-      settings,
+    const Version = old ? old.version.Controller : Controller;
+    const controller = new Version({
+      settings: old ? { ...settings, ...old.settings } : settings,
       tuning: standardTuning(),
       clock: this.clock.view(gate, drift, wallOff),
       random: this.random,
@@ -273,6 +281,20 @@
     this.net.unplug(settings.clusterListen);
   }
 
+  /** The node's process ends, and comes back with the present version. */
+  upgradeNode(index: number, downFor: Micros): void {
+    (this.nodes[index] as Node).isOld = false;
+    this.killNode(index);
+    this.clock.at(downFor, () => {
+      this.startNode(index);
+    });
+  }
+
+  /** The node runs the version in production, or will when it comes back. */
+  isOld(index: number): boolean {
+    return this.nodes[index]?.isOld ?? false;
+  }
+
   /** The node's process stands still: timers, answers and requests wait for it, clocks don't. */
   freezeNode(index: number, duration: Micros): void {
     const { life } = this.nodes[index] as Node;
