--- /dev/null
+++ b/packages/pricing/gang.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { SECOND } from '#wire';
+import { planStops, type Victim } from './preempt.js';
+import { playRound } from './round.js';
+import type { RoomyMachine, RoundInput, RoundOptions, RoundResult, WaitingJob } from './types.js';
+
+const OPTIONS: RoundOptions = {
+  ...{ passes: 30, step: 0.1, gpuShapeCost: 0.5, gpuTaskWeight: 0.5, guaranteeWeight: 0.5 },
+  ...{ mostStarts: 1000, choices: 4 },
+};
+
+function gang(id: string, size: number, change: Partial<WaitingJob> = {}): WaitingJob {
+  return {
+    ...{ id, team: 'blue', need: { cpus: 2, gpus: 0, memGb: 4 }, priority: 2, order: 1 },
+    ...{ waiting: size, taskCount: size, gang: true, machineTypes: null, zone: null, singleZone: true },
+    ...{ spreadZones: false, spot: true, image: 'img-1', placedByZone: new Map() },
+    ...change,
+  };
+}
+
+function machine(host: string, zone: string, freeCpus: number, busyS = 1000): RoomyMachine {
+  return {
+    ...{ host, machineType: 'small', zone, spot: false, warm: [], upkeep: 1 },
+    total: { cpus: 4, gpus: 0, memGb: 16 },
+    room: { cpus: freeCpus, gpus: 0, memGb: 4 * freeCpus },
+    busyFor: () => busyS * SECOND,
+  };
+}
+
+function play(jobs: WaitingJob[], machines: RoomyMachine[], most = 1000, seed = 1): RoundResult {
+  const generator = xoroshiro128plus(seed);
+  const input: RoundInput = {
+    ...{ jobs, machines, prices: new Map(), options: OPTIONS },
+    teams: [
+      {
+        ...{ name: 'blue', used: { cpus: 0, gpus: 0, memGb: 0 }, guaranteed: { cpus: 0, gpus: 0 } },
+        most: { cpus: most, gpus: 0 },
+      },
+    ],
+    random: () => (generator.next() >>> 0) / 4294967296,
+  };
+  return playRound(input);
+}
+
+const startsOf = (result: RoundResult, id: string): string[] =>
+  result.starts.filter((start) => start.job === id).map((start) => start.host);
+
+test('of a gang all tasks are placed or none, in one zone where it has to be, and room is put back', () => {
+  const anyGang = fc.record({ size: fc.integer({ min: 1, max: 8 }), singleZone: fc.boolean() });
+  const anyMachine = fc.record({ zone: fc.constantFrom('east', 'west'), free: fc.constantFrom(0, 2, 4) });
+  fc.assert(
+    fc.property(fc.array(anyGang, { maxLength: 6 }), fc.array(anyMachine, { maxLength: 12 }), (gs, ms) => {
+      const jobs = gs.map((g, i) => gang(`j-${i}`, g.size, { singleZone: g.singleZone, order: i }));
+      const machines = ms.map((m, i) => machine(`n-${i}`, m.zone, m.free));
+      const result = play(jobs, machines);
+      const used = new Map<string, number>();
+      for (const job of jobs) {
+        const hosts = startsOf(result, job.id);
+        assert.ok(hosts.length === 0 || hosts.length === job.taskCount, 'all or none');
+        const zones = new Set(hosts.map((host) => machines.find((m) => m.host === host)?.zone));
+        assert.ok(!job.singleZone || zones.size <= 1, 'one zone');
+        for (const host of hosts) used.set(host, (used.get(host) ?? 0) + job.need.cpus);
+      }
+      for (const m of machines) {
+        const left = result.left.get(m.host)?.cpus ?? 0;
+        const expected = m.room.cpus - (used.get(m.host) ?? 0);
+        assert.ok(result.kept.has(m.host) ? left <= expected : left === expected, `room of ${m.host}`);
+      }
+    }),
+    { seed: 4, numRuns: 400 },
+  );
+});
+
+test('the zone that has room for the whole gang and its image is chosen', () => {
+  const cold = ['a', 'b', 'c'].map((name) => machine(name, 'east', 4));
+  const warm = ['d', 'e'].map((name) => ({ ...machine(name, 'west', 4), warm: ['img-1'] }));
+  assert.deepEqual(startsOf(play([gang('j-1', 4)], [...cold, ...warm]), 'j-1').sort(), ['d', 'd', 'e', 'e']);
+  assert.equal(startsOf(play([gang('j-1', 6)], [...cold, ...warm]), 'j-1').length, 6);
+  assert.equal(startsOf(play([gang('j-1', 7)], [...cold, ...warm]), 'j-1').length, 0);
+});
+
+test('room is kept for a gang only where the rest comes free soon, and what ranks lower does not take it', () => {
+  const small = gang('j-2', 1, { gang: false, singleZone: false, waiting: 4, taskCount: 4, priority: 1 });
+  const soon = [machine('a', 'east', 2, 10), machine('b', 'east', 2, 10)];
+  const gathering = play([gang('j-1', 4), small], soon);
+  assert.deepEqual(gathering.starts, []);
+  assert.equal(gathering.unmet.get('j-1'), 2);
+  assert.equal(gathering.gatheringZones.get('j-1'), 'east');
+  const late = [machine('a', 'east', 2), machine('b', 'east', 2)];
+  assert.equal(startsOf(play([gang('j-1', 4), small], late), 'j-2').length, 2);
+});
+
+test('of two gangs that each could have half, one gets all', () => {
+  const machines = [machine('a', 'east', 4), machine('b', 'east', 4)];
+  const result = play([gang('j-1', 3, { order: 1 }), gang('j-2', 3, { order: 2 })], machines);
+  assert.equal(result.starts.length, 3);
+});
+
+test('small tasks of its team do not keep a gang from the room that the limit leaves', () => {
+  const machines = ['a', 'b', 'c', 'd'].map((name) => machine(name, 'east', 4));
+  const small = gang('j-2', 1, { gang: false, singleZone: false, waiting: 8, taskCount: 8, priority: 1 });
+  // A limit of 6 CPUs leaves no room for four tasks of two: until it does, nothing of lower rank begins.
+  assert.deepEqual(play([gang('j-1', 4), small], machines, 6).starts, []);
+  assert.equal(startsOf(play([gang('j-1', 4), small], machines, 8), 'j-1').length, 4);
+});
+
+test('for a gang as many tasks are stopped as it needs, or none', () => {
+  const victim = (host: string, cpus: number): Victim => ({
+    ...{ taskName: `v/${host}`, host, rank: 0, beyond: false, saves: true, cpus, gpus: 0, memGb: 4 },
+  });
+  const stopsFor = (count: number): number =>
+    planStops({
+      requests: [{ job: gang('j-1', 4), count, rank: 2, guaranteed: false }],
+      machines: ['a', 'b'].map((host) => ({
+        host,
+        left: { cpus: 0, gpus: 0, memGb: 8 },
+        allowed: () => true,
+      })),
+      victims: [victim('a', 2), victim('b', 2)],
+      most: 6,
+    }).length;
+  assert.equal(stopsFor(2), 2);
+  assert.equal(stopsFor(3), 0);
+});
--- a/packages/workers/worker-registry.test.ts
+++ b/packages/workers/worker-registry.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Ledger, type LiveJob } from '#cluster';
+import { type HostRow, Ledger, type LiveJob, type StartGroup } from '#cluster';
 import { SECOND, type WorkerReport } from '#wire';
 import { sampleJob } from '#testkit';
 import { renewalBound, withDrift } from './lease-bounds.js';
@@ -148,3 +148,72 @@
   workers.receive(report({ sequence: 8 }), NOW + 17 * SECOND);
   assert.equal(unreachable(), false);
 });
+
+/** A gang of two, one task on n-1, the other on n-2; `parts` says which of them are in the log. */
+function gangScene(parts: readonly [number, string][]): ReturnType<typeof scene> {
+  const ledger = new Ledger();
+  const machines = ['n-1', 'n-2'].map((host): HostRow => [host, 'small', 'east', false, 0, 0]);
+  ledger.apply('lead', { sequence: 1, at: 0, machines });
+  const tasks = parts.map(([index, host]): StartGroup['tasks'][number] => [index, host, 1]);
+  const gang = { attempt: TRY, size: 2 };
+  const starts = [{ job: 'j-1', team: 'blue', image: 'i', need: [2, 0, 4], gang, tasks }] as StartGroup[];
+  ledger.apply(0, { sequence: 1, at: 0, starts });
+  const workers = new WorkerRegistry(LIMITS);
+  workers.own(ledger, OWNERS, 5, NOW);
+  const spec = sampleJob('j-1', { shape: 'gang', taskCount: 2 });
+  return { workers, ledger, jobs: new Map([['j-1', { spec, at: 0, revision: 1 }]]) };
+}
+
+test('no task of a gang is started before all of them have their place', () => {
+  const part = gangScene([[0, 'n-1']]);
+  part.workers.receive(report(), NOW);
+  assert.deepEqual(part.workers.commands('n-1', part.ledger, part.jobs, true), []);
+  const whole = gangScene([
+    [0, 'n-1'],
+    [1, 'n-2'],
+  ]);
+  whole.workers.receive(report(), NOW);
+  assert.equal(whole.workers.commands('n-1', whole.ledger, whole.jobs, true)[0]?.kind, 'start');
+});
+
+// A late commit may bring the other part after the end of this one was decided and before it is recorded.
+test('a part of a gang that was found undelivered is not started any more, even if the gang becomes whole', () => {
+  const { workers, ledger, jobs } = gangScene([[0, 'n-1']]);
+  workers.receive(report(), NOW);
+  assert.equal(workers.endings(ledger, jobs, NOW + 1)[0]?.outcome, 'undelivered');
+  const gang = { attempt: TRY, size: 2 };
+  const late = { job: 'j-1', team: 'blue', image: 'i', need: [2, 0, 4], gang, tasks: [[1, 'n-2', 1]] };
+  ledger.apply(0, { sequence: 2, at: 0, starts: [late as StartGroup] });
+  workers.receive(report({ sequence: 2 }), NOW + 2);
+  assert.deepEqual(workers.commands('n-1', ledger, jobs, true), []);
+});
+
+test('what is left of a gang is told to stop, but one that saves is left alone', () => {
+  for (const [state, expected] of [
+    ['gathering', 1],
+    ['running', 1],
+    ['saving', 0],
+  ] as const) {
+    const { workers, ledger, jobs } = gangScene([
+      [0, 'n-1'],
+      [1, 'n-2'],
+    ]);
+    workers.receive(report({ tasks: [{ task: 'j-1/0', attempt: TRY, state }] }), NOW);
+    assert.deepEqual(workers.commands('n-1', ledger, jobs, true), []);
+    ledger.apply(0, { sequence: 2, at: 0, ends: [['j-1', 1, TRY, 'lost']] });
+    const commands = workers.commands('n-1', ledger, jobs, true);
+    assert.equal(commands.filter((c) => c.kind === 'stop').length, expected, state);
+  }
+});
+
+test('a gang that did not come together, or lost a task, blames neither its machines nor its job', () => {
+  for (const cause of ['gang_incomplete', 'peer_gone'] as const) {
+    const { workers, ledger, jobs } = gangScene([
+      [0, 'n-1'],
+      [1, 'n-2'],
+    ]);
+    const exited: WorkerReport['tasks'] = [{ task: 'j-1/0', attempt: TRY, state: 'exited', cause }];
+    workers.receive(report({ tasks: exited }), NOW);
+    assert.equal(workers.endings(ledger, jobs, NOW)[0]?.outcome, 'stopped');
+  }
+});
