--- a/packages/cluster/gang.test.ts
+++ b/packages/cluster/gang.test.ts
@@ -45,7 +45,7 @@
 });
 
 test('the parts of a start that is cut to fit its values bear one attempt', () => {
-  const parts = splitDraft({ starts: [part([0, 1, 2])] }, 165);
+  const parts = splitDraft({ starts: [part([0, 1, 2])] }, 100);
   assert.ok(parts.length > 1);
   for (const { starts } of parts) assert.deepEqual(starts?.[0]?.gang, { attempt: ATTEMPT, size: 3 });
 });
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -252,6 +252,9 @@
   return { set: jobKey(id), value: { Status: status } };
 }
 
+/** What an empty draft takes. */
+const EMPTY_BYTES = 2;
+
 /** Fields of a draft that are plain lists, in the order in which a cut draft carries them. */
 const LISTS = [
   ...(['removed', 'machines', 'settledRentals', 'rentals', 'moves'] as const),
@@ -264,11 +267,11 @@
  */
 export function splitDraft(draft: RecordDraft, limit: number): RecordDraft[] {
   const parts: RecordDraft[] = [{}];
-  let size = 2;
+  let size = EMPTY_BYTES;
   const room = (bytes: number): RecordDraft => {
-    if (size + bytes > limit) {
+    if (size > EMPTY_BYTES && size + bytes > limit) {
       parts.push({});
-      size = 2;
+      size = EMPTY_BYTES;
     }
     size += bytes;
     return parts[parts.length - 1] as RecordDraft;
--- a/packages/settings/settings.test.ts
+++ b/packages/settings/settings.test.ts
@@ -50,6 +50,43 @@
   assert.deepEqual(settings.teams[0], { name: 'pricing', cpus: 32, cpusMax: 104, gpus: 0, gpusMax: 0 });
 });
 
+test('where a file says nothing of gangs or of coming limits, what holds is stated, and wrong values are named', () => {
+  const settings = parseSettings(TOML);
+  assert.equal(settings.gangWait, 50 * SECOND);
+  assert.equal(settings.gangPeer, 5 * SECOND);
+  const gangs = parseSettings(TOML.replace('cancel_s', 'gang_wait_s = 45.0\ngang_peer_s = 4.0\ncancel_s'));
+  assert.equal(gangs.gangWait, 45 * SECOND);
+  assert.equal(gangs.gangPeer, 4 * SECOND);
+  const wrong: [string, RegExp][] = [
+    ['gang_wait_s = 0.0', /^facts\.workers\.gang_wait_s: /],
+    ['gang_peer_s = "soon"', /^facts\.workers\.gang_peer_s: /],
+  ];
+  for (const [line, message] of wrong) {
+    const toml = TOML.replace('cancel_s', `${line}\ncancel_s`);
+    assert.throws(
+      () => parseSettings(toml),
+      (cause) => cause instanceof SettingsError && message.test(cause.message),
+    );
+  }
+});
+
+test('of present and coming limits of the state service the smaller ones hold', () => {
+  const next = (lines: string): string =>
+    TOML.replace('[facts.cloud]', `[facts.state.next]\n${lines}\n[facts.cloud]`);
+  const settings = parseSettings(next('value_kb = 2.0\ntxn_ops = 16\nwrite_rps = 18.0'));
+  assert.equal(settings.valueBytes, 2048);
+  assert.equal(settings.txnOps, 8);
+  assert.equal(settings.stateWriteRps, 18);
+  assert.equal(settings.stateRps, 80);
+  for (const line of ['txn_ops = 0', 'txn_ops = 1.5', 'value_kb = -1.0', 'write_rps = true']) {
+    const field = line.split(' ')[0] ?? '';
+    assert.throws(
+      () => parseSettings(next(line)),
+      (cause) => cause instanceof SettingsError && cause.message.startsWith(`facts.state.next.${field}: `),
+    );
+  }
+});
+
 test('a guest team has neither a guarantee nor a limit', () => {
   const guest = TOML.replace('cpus = 32.0\ncpus_max = 104.0', 'cpus = 0.0\ncpus_max = 0.0');
   const none = { cpus: 0, cpusMax: Infinity, gpus: 0, gpusMax: Infinity };
