--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -25,11 +25,12 @@
   planDrains,
   planMoves,
   type ShareNeeds,
+  Standby,
   usedPart,
 } from '#fleet';
 import type { Settings } from '#settings';
 import { isTooLarge, type StoreClient, type Write, type WriteLimits } from '#store';
-import { type Clock, type Fields, type MachineType, type Micros, SECOND } from '#wire';
+import { type Clock, type Fields, fromSeconds, type MachineType, type Micros, SECOND } from '#wire';
 import type { Forecaster, OwnerForecast } from './forecast.js';
 import type { RunTimes } from './run-times.js';
 
@@ -72,6 +73,7 @@
   private lastLogged: Micros = -Infinity;
   private assigning = false;
   private readonly poorSince = new Map<string, Micros>();
+  private readonly standby = new Standby();
   private readonly movedAt = new Map<string, Micros>();
 
   constructor(private readonly parts: LeaderParts) {
@@ -85,6 +87,7 @@
         lease: parts.settings.lease,
         listLag: parts.settings.listLag,
         shareFor: (zone) => this.shareFor(zone),
+        isStandby: (host) => this.standby.isHeld(host),
         isCut: (zone) => [...this.cuts()].some((pair) => pair.split('|').includes(zone)),
       }),
       log,
@@ -103,6 +106,7 @@
     if (!fresh || this.recording || clock.now() < this.nextStep) return;
     const began = clock.now();
     this.leaveCutZones();
+    this.standby.observe(this.hostsOfPromptJobs(), clock.now());
     const forecasts = forecaster.forecast(replica.owners);
     const needs = this.move(forecasts);
     if (needs.every((n) => n.needs.length === 0)) this.drain(forecasts);
@@ -133,6 +137,7 @@
     this.nextStep = -Infinity;
     this.movedAt.clear();
     this.poorSince.clear();
+    this.standby.clear();
     this.fleet.reset();
   }
 
@@ -231,6 +236,17 @@
     return [...counts].sort((a, b) => a[1] - b[1])[0]?.[0] ?? 0;
   }
 
+  /** Machines with tasks of jobs that should start sooner than a machine boots. */
+  private *hostsOfPromptJobs(): Generator<string> {
+    const { replica, forecaster } = this.parts;
+    const boot = Math.min(...[...replica.types.values()].map((type) => fromSeconds(type.bootS)));
+    for (const [id, entry] of replica.ledger.jobEntries) {
+      const spec = replica.jobs.get(id)?.spec;
+      if (!spec || forecaster.startAim(spec.jobClass) >= boot) continue;
+      for (const placement of entry.placed.values()) yield placement.host;
+    }
+  }
+
   /** A gang on it is told what to do by the owner of all its machines as long as that can be had. */
   private holdsGang(host: string): boolean {
     for (const { gangSize } of this.parts.replica.ledger.placementsOn(host)) {
@@ -301,7 +317,7 @@
     for (const [host, left] of forecasts.flatMap((o) => [...o.left])) {
       const entry = replica.ledger.hosts.get(host);
       const type = entry && replica.types.get(entry.machineType);
-      if (!type) continue;
+      if (!type || this.standby.isHeld(host)) continue;
       const total = amountsOf(type);
       if (usedPart({ total, left }) > DRAIN.poor) this.poorSince.delete(host);
       else if (!this.poorSince.has(host)) this.poorSince.set(host, now);
--- a/packages/daemon/round-input.ts
+++ b/packages/daemon/round-input.ts
@@ -128,6 +128,7 @@
     return {
       ...{ host, machineType, zone, spot, total: amountsOf(type), room, busyFor, upkeep },
       warm: entry.images,
+      toldIn: this.workers.nextReportIn(host, this.clock.now()),
     };
   }
 
--- a/packages/fleet/fleet-manager.ts
+++ b/packages/fleet/fleet-manager.ts
@@ -28,6 +28,8 @@
   shareFor: (zone: string) => number;
   /** Workers in this zone may be up and unheard. */
   isCut: (zone: string) => boolean;
+  /** The machine is held ready for jobs that can't wait for one to boot. */
+  isStandby: (host: string) => boolean;
 }
 
 /** What the leader knows to be wanted by the owner of a share. */
@@ -265,7 +267,8 @@
       if (host.status !== 'up') continue;
       const since = this.idleSince.get(host.host) ?? now;
       this.idleSince.set(host.host, since);
-      if (!short) idle.push({ host: host.host, idle: now - since, age: this.age(host), spot: host.spot });
+      if (!short && !this.facts().isStandby(host.host))
+        idle.push({ host: host.host, idle: now - since, age: this.age(host), spot: host.spot });
     }
     const keep = { ordinary: 15 * SECOND, spot: 40 * SECOND, least: 55 * SECOND };
     for (const host of planReturns(idle, keep)) this.move(host, 'return', 'idle');
--- a/packages/pricing/gang.test.ts
+++ b/packages/pricing/gang.test.ts
@@ -23,7 +23,7 @@
 
 function machine(host: string, zone: string, freeCpus: number, busyS = 1000): RoomyMachine {
   return {
-    ...{ host, machineType: 'small', zone, spot: false, warm: [], upkeep: 1 },
+    ...{ host, machineType: 'small', zone, spot: false, warm: [], toldIn: 0, upkeep: 1 },
     total: { cpus: 4, gpus: 0, memGb: 16 },
     room: { cpus: freeCpus, gpus: 0, memGb: 4 * freeCpus },
     busyFor: () => busyS * SECOND,
@@ -82,6 +82,18 @@
   assert.equal(startsOf(play([gang('j-1', 7)], [...cold, ...warm]), 'j-1').length, 0);
 });
 
+// A gang starts with its last task: told one by one, its machines would keep each other waiting.
+test('of the machines of the best shape a gang goes to those whose workers report next', () => {
+  const machines = [900, 0, 800, 100, 700, 950].map((toldIn, i) => ({
+    ...machine(`n-${i}`, 'east', 4),
+    toldIn: toldIn * 1000,
+  }));
+  for (let seed = 1; seed < 20; seed++) {
+    const hosts = startsOf(play([gang('j-1', 4)], machines, 1000, seed), 'j-1');
+    for (const host of hosts) assert.ok(['n-1', 'n-3', 'n-4'].includes(host), host);
+  }
+});
+
 test('room is kept for a gang only where the rest comes free soon, and what ranks lower does not take it', () => {
   const small = gang('j-2', 1, { gang: false, singleZone: false, waiting: 4, taskCount: 4, priority: 1 });
   const soon = [machine('a', 'east', 2, 10), machine('b', 'east', 2, 10)];
--- a/packages/pricing/gang.ts
+++ b/packages/pricing/gang.ts
@@ -26,13 +26,44 @@
   const sites = sitesOf(job, pools);
   for (const site of sites) {
     if (site.free < job.waiting) break;
-    const machines = fill(job, pools, new ZoneRule(inZone(job, site.zone), []), job.waiting, options);
+    const rule = new ZoneRule(inZone(job, site.zone), []);
+    const machines = fill(job, soonestTold(job, pools, rule), rule, job.waiting, options);
     if (machines.length === job.waiting) return { kind: 'placed', machines };
     for (const machine of machines) take(machine.room, job.need, -1);
   }
   return gather(job, sites);
 }
 
+/** So many times the tasks' room is chosen from among the machines that are told soonest. */
+const CHOICE = 1.5;
+
+/**
+ * The shapes that a gang needs, best first; of the last one only the machines that have the image and are told soonest.
+ * A gang starts with its last task, so that the slowest of its machines to hear of it holds up all others.
+ */
+function soonestTold(job: WaitingJob, pools: readonly Pool[], rule: ZoneRule): Pool[] {
+  const chosen: Pool[] = [];
+  let left = job.waiting;
+  for (const pool of pools) {
+    const open = pool.machines.filter((m) => rule.open(m.zone) && slots(job.need, m.room) > 0);
+    const free = open.reduce((sum, m) => sum + slots(job.need, m.room), 0);
+    if (free >= left) {
+      const isCold = (m: RoomyMachine): number => (m.warm.includes(job.image) ? 0 : 1);
+      open.sort((a, b) => isCold(a) - isCold(b) || a.toldIn - b.toldIn);
+      return [...chosen, { ...pool, machines: firstWithRoom(job, open, Math.ceil(left * CHOICE)) }];
+    }
+    left -= free;
+    chosen.push(pool);
+  }
+  return chosen;
+}
+
+function firstWithRoom(job: WaitingJob, machines: readonly RoomyMachine[], count: number): RoomyMachine[] {
+  let room = 0;
+  const end = machines.findIndex((m) => (room += slots(job.need, m.room)) >= count);
+  return end < 0 ? [...machines] : machines.slice(0, end + 1);
+}
+
 /** The sites of a gang, the one with most room first; of several that have enough, the one that has its image. */
 function sitesOf(job: WaitingJob, pools: readonly Pool[]): Site[] {
   const sites = new Map<string | null, Site>();
--- a/packages/pricing/round.test.ts
+++ b/packages/pricing/round.test.ts
@@ -55,6 +55,7 @@
       room: { ...total },
       warm: [],
       busyFor: () => Infinity,
+      toldIn: 0,
       upkeep: 1,
     },
     ...change,
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -47,6 +47,8 @@
   warm: readonly string[];
   /** Time until all that is on it should have ended. */
   busyFor: () => Micros;
+  /** Time until its worker is likely to report next, and so to be told of a start. */
+  toldIn: Micros;
   /** What the machine costs per hour and CPU; decides only between shapes of equal utility. */
   upkeep: number;
 }
--- a/packages/workers/worker-registry.ts
+++ b/packages/workers/worker-registry.ts
@@ -105,6 +105,14 @@
     if (session) session.answeredAt = now;
   }
 
+  /** Time until the worker can be told something: none while its report waits for its answer. */
+  nextReportIn(host: string, now: Micros): Micros {
+    const session = this.sessions.get(host);
+    if (!session) return this.limits.report;
+    if (session.answeredAt < session.heardAt) return 0;
+    return Math.max(0, session.heardAt + this.limits.report - now);
+  }
+
   stop(placement: Placement, graceS: number): void {
     this.stops.set(placement.taskName, { attempt: placement.attempt, graceS });
   }
