--- a/packages/daemon/job-service.ts
+++ b/packages/daemon/job-service.ts
@@ -145,10 +145,20 @@
     if (!fits(need, { cpus: team.cpusMax, gpus: team.gpusMax, memGb: Infinity })) {
       return `a task needs more than the limit of team ${job.team}`;
     }
-    const whole = { cpus: need.cpus * job.taskCount, gpus: need.gpus * job.taskCount, memGb: 0 };
-    if (job.shape === 'gang' && !fits(whole, { cpus: team.cpusMax, gpus: team.gpusMax, memGb: Infinity })) {
+    if (job.shape === 'gang') return this.gangNeverRuns(job);
+    return null;
+  }
+
+  /** Why the tasks of a gang can never run at the same time, or null. */
+  private gangNeverRuns(job: JobSpec): string | null {
+    const team = this.settings.teams.find((t) => t.name === job.team);
+    const whole = { cpus: job.cpus * job.taskCount, gpus: job.gpus * job.taskCount, memGb: 0 };
+    if (!team || !fits(whole, { cpus: team.cpusMax, gpus: team.gpusMax, memGb: Infinity })) {
       return `all tasks together need more than the limit of team ${job.team}`;
     }
+    if (job.spreadZones && job.taskCount > 1 && (job.singleZone || job.zone !== null)) {
+      return 'all tasks can not be in one zone and spread over zones at the same time';
+    }
     return null;
   }
 }
