A gang that has to be spread keeps no room; test

Cause: room in one zone counted as enough for a gang of which at most half may lie there, so that it was kept from lower ranks for as long as the gang waited.

--- a/packages/pricing/gang.test.ts
+++ b/packages/pricing/gang.test.ts
@@ -105,6 +105,17 @@
   assert.equal(startsOf(play([gang('j-1', 4), small], late), 'j-2').length, 2);
 });
 
+test('a gang that has to be spread and finds room in one zone only is released, and its room put back', () => {
+  const machines = ['a', 'b'].map((name) => machine(name, 'east', 4));
+  const spread = gang('j-1', 4, { singleZone: false, spreadZones: true });
+  const small = gang('j-2', 1, { gang: false, singleZone: false, waiting: 4, taskCount: 4, priority: 1 });
+  const result = play([spread, small], machines);
+  assert.deepEqual(startsOf(result, 'j-1'), []);
+  assert.equal(startsOf(result, 'j-2').length, 4);
+  const both = [...machines, machine('c', 'west', 4)];
+  assert.equal(startsOf(play([spread], both), 'j-1').length, 4);
+});
+
 test('of two gangs that each could have half, one gets all', () => {
   const machines = [machine('a', 'east', 4), machine('b', 'east', 4)];
   const result = play([gang('j-1', 3, { order: 1 }), gang('j-2', 3, { order: 2 })], machines);
--- a/packages/pricing/gang.ts
+++ b/packages/pricing/gang.ts
@@ -99,7 +99,8 @@
   if (!best) return { kind: 'released', missing: job.waiting, zone: null, kept: [] };
   const missing = Math.max(1, job.waiting - best.free);
   const result: GangPlacement = { kind: 'released', missing, zone: best.zone, kept: [] };
-  if (!comesFree(job, best)) return result;
+  // For one that has to be spread, room in one zone says nothing of when the gang can start.
+  if (job.spreadZones || !comesFree(job, best)) return result;
   let left = job.waiting;
   for (const machine of best.machines) {
     const count = Math.min(left, slots(job.need, machine.room));
