--- a/packages/daemon/forecast.ts
+++ b/packages/daemon/forecast.ts
@@ -63,8 +63,7 @@
 
   /** Within what time the tasks of a class should have started; Infinity if its users say nothing of it. */
   startAim(jobClass: string): Micros {
-    const aims = (this.objectives.get(jobClass) ?? []).filter((o) => o.kind === 'wait');
-    return Math.min(...aims.map((o) => o.within ?? Infinity));
+    return this.input.startAim(jobClass);
   }
 
   /**
--- a/packages/daemon/round-input.ts
+++ b/packages/daemon/round-input.ts
@@ -36,7 +36,7 @@
   ) {
     for (const { kind, jobClass, within } of settings.objectives) {
       if (kind !== 'wait' || jobClass === null || within === null) continue;
-      this.startAims.set(jobClass, Math.min(within, this.startAims.get(jobClass) ?? Infinity));
+      this.startAims.set(jobClass, Math.min(within, this.startAim(jobClass)));
     }
     this.guests = new Set(settings.teams.filter((t) => t.cpus === 0 && t.gpus === 0).map((t) => t.name));
   }
@@ -110,9 +110,14 @@
     return out;
   }
 
+  /** Within what time the tasks of a class should have started; Infinity if its users say nothing of it. */
+  startAim(jobClass: string): Micros {
+    return this.startAims.get(jobClass) ?? Infinity;
+  }
+
   /** The waiting time that doubles a job's priority: no longer than its users want to wait for its starts. */
   private waitDoubles(spec: JobSpec): Micros {
-    return Math.min(this.tuning.waitDoubles, this.startAims.get(spec.jobClass) ?? Infinity);
+    return Math.min(this.tuning.waitDoubles, this.startAim(spec.jobClass));
   }
 
   private roomy(host: string, ending: ReadonlySet<Placement>): RoomyMachine | null {
