Duties under a term: proofs for every action of a holder, and machines named for return before they are deleted

Cause: the cloud knows no token, and a deletion may be executed minutes late. The leader deleted machines that were late, lost or missing from the list without a record of it, so that such a request could take a machine that a successor's owner was using by then.

Change: package `duties`: a state machine for each duty, one registry that gives out proofs of a term, a store and a cloud that take nothing without one. Machines are named for return in the leader's log first, which is final, and deleted once released, or once the list shows that they stopped or are gone.

--- a/packages/cluster/keys.ts
+++ b/packages/cluster/keys.ts
@@ -1,3 +1,5 @@
+import type { DutyName } from '#duties';
+
 /**
  * Where the cluster's state lies in the state service. All of it is below one prefix, so that a single watch
  * sees every change and "caught up to epoch E" has a meaning. What is over lies apart: a restart reads only
@@ -20,8 +22,8 @@
 /** Never written: reading it costs one request and tells the present epoch. */
 export const NOTHING = 'mw/nothing';
 
-/** A log has one writer: the leader's, or that of a share its owner. */
-export type LogId = 'lead' | number;
+/** A log has one writer: the holder of the duty of the same name. */
+export type LogId = DutyName;
 
 export function jobKey(id: string): string {
   return JOBS + id;
--- a/packages/cluster/membership.ts
+++ b/packages/cluster/membership.ts
@@ -1,7 +1,8 @@
 import { encodeCapabilities, OWN_CAPABILITIES } from './capabilities.js';
-import { capabilityKey, LEAD, memberKey } from './keys.js';
+import { capabilityKey, LEAD, memberKey, ownershipKey } from './keys.js';
 import type { Logger } from './logger.js';
 import type { Lead, Replica, ShareOwner } from './replica.js';
+import { type DutyHolder, type DutyName, DutyRegistry } from '#duties';
 import { type StoreClient, StoreError } from '#store';
 import { type Clock, type Count, type Micros, MS, SECOND, sleep } from '#wire';
 
@@ -28,9 +29,13 @@
  */
 export class Membership {
   state: MembershipState = 'outside';
+  /** The right to act for what this process holds. */
+  readonly duties: DutyRegistry;
   private standing: { nonce: string; leaseId: Count; at: Micros } | null = null;
   private count = 0;
   private campaigning = false;
+  /** Until then another member is to have the lead. */
+  private abstainsUntil: Micros = -Infinity;
   private contacts: MemberContacts = { unreachable: [], workersUnreachable: false };
   private telling = false;
 
@@ -45,6 +50,15 @@
     private readonly random: () => number,
     private readonly log: Logger,
   ) {
+    this.duties = new DutyRegistry({
+      source: {
+        holders: () => holdersIn(replica),
+        isOurs: (nonce) => this.isOurs(nonce),
+      },
+      clock,
+      keyOf: ownershipKey,
+      leaseLife: LIFE,
+    });
     replica.onChange(() => {
       this.observe();
     });
@@ -84,6 +98,11 @@
     this.telling = false;
   }
 
+  /** Leaves the lead to others for a while, as after handing it over. */
+  abstain(duration: Micros): void {
+    this.abstainsUntil = this.clock.now() + duration;
+  }
+
   stop(): void {
     this.enter('stopped');
   }
@@ -119,7 +138,9 @@
   }
 
   private async join(): Promise<void> {
+    const sentAt = this.clock.now();
     const leaseId = await this.store.createLease(LIFE);
+    this.duties.renewed(sentAt);
     this.standing = { nonce: `${this.incarnation}.${++this.count}`, leaseId, at: this.clock.now() };
     this.enter('joining');
     // Only one process of a member runs at a time: an earlier one's record can be replaced, never disturbed.
@@ -132,10 +153,15 @@
   }
 
   private async keep(standing: { nonce: string; leaseId: Count; at: Micros }): Promise<void> {
+    const sentAt = this.clock.now();
     if (!(await this.store.renew(standing.leaseId))) {
       this.standing = null;
       this.enter('outside');
-    } else if (this.state === 'joining' && this.clock.now() > standing.at + PATIENCE) {
+      this.duties.refresh();
+      return;
+    }
+    this.duties.renewed(sentAt);
+    if (this.state === 'joining' && this.clock.now() > standing.at + PATIENCE) {
       // The commit's answer was lost. Once its grant is gone it can't be applied any more.
       await this.leave();
     } else if (this.state === 'member') {
@@ -172,6 +198,7 @@
     } else if (this.state === 'member' && !ours && this.replica.state === 'following') {
       void this.leave();
     }
+    this.duties.refresh();
     if (this.state === 'member') this.campaign();
   }
 
@@ -182,7 +209,7 @@
   }
 
   private campaign(): void {
-    if (this.campaigning || !this.vacant()) return;
+    if (this.campaigning || !this.vacant() || this.clock.now() < this.abstainsUntil) return;
     this.campaigning = true;
     void this.tryLead().finally(() => {
       this.campaigning = false;
@@ -193,12 +220,16 @@
     await sleep(this.clock, Math.floor(this.random() * 100) * MS);
     const { standing } = this;
     if (!standing || this.state !== 'member' || !this.vacant()) return;
+    this.duties.acquiring('lead');
     const result = await this.store.commit(
       [{ path: LEAD, revision: this.replica.lead?.revision ?? 0 }],
       [{ set: LEAD, value: { Member: this.member, Nonce: standing.nonce }, leaseId: standing.leaseId }],
     );
     if (result.kind === 'applied') this.log.info({ nonce: standing.nonce }, 'leading');
-    else await sleep(this.clock, RETRY);
+    else {
+      this.duties.acquisitionFailed('lead');
+      await sleep(this.clock, RETRY);
+    }
   }
 
   private enter(state: MembershipState): void {
@@ -207,3 +238,15 @@
     this.state = state;
   }
 }
+
+/** Who holds which duty, as this copy of the state says. */
+function holdersIn({ lead, owners }: Replica): Map<DutyName, DutyHolder> {
+  const holders = new Map<DutyName, DutyHolder>();
+  if (lead) holders.set('lead', holderOf(lead));
+  for (const [share, owner] of owners) holders.set(share, holderOf(owner));
+  return holders;
+}
+
+function holderOf({ member, nonce, revision }: Lead): DutyHolder {
+  return { member, nonce, term: revision };
+}
--- a/packages/cluster/writer.test.ts
+++ b/packages/cluster/writer.test.ts
@@ -1,14 +1,23 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { type DutyHolder, type DutyName, DutyRegistry, FencedStore } from '#duties';
 import { type Guard, Pace, type StoreClient, type Write, WriteLimits } from '#store';
 import { sampleJob, SimClock } from '#testkit';
-import { MS, SECOND } from '#wire';
+import { type Clock, MS, SECOND } from '#wire';
 import { jobKey, LEAD, overKey, ownershipKey } from './keys.js';
 import type { HostRow } from './ledger.js';
-import type { Membership } from './membership.js';
 import { Replica } from './replica.js';
 import { LogWriter } from './writer.js';
 
+/** Duties of a process that leads under term 1 and owns these shares. */
+function dutiesOf(clock: Clock, shares: ReadonlyMap<number, number>): DutyRegistry {
+  const holder = (term: number): DutyHolder => ({ member: 'node-0', nonce: 'ours', term });
+  const holders = new Map<DutyName, DutyHolder>([['lead', holder(1)]]);
+  for (const [share, term] of shares) holders.set(share, holder(term));
+  const source = { holders: () => holders, isOurs: () => true };
+  return new DutyRegistry({ source, clock, keyOf: ownershipKey, leaseLife: SECOND });
+}
+
 const SILENT = { debug: () => undefined, info: () => undefined, error: () => undefined };
 
 // At nine hundred machines the leader planned a round every two seconds while the others planned four a second.
@@ -27,10 +36,11 @@
     const host = (i: number): HostRow => [`n-${seq}-${i}`, 'small', 'east', true, seq, 0];
     replica.ledger.apply('lead', { sequence: seq, at: 0, machines: [...Array(20).keys()].map(host) });
   }
-  const membership = { lead: () => ({ revision: 1 }), shares: () => new Map() } as unknown as Membership;
+  const duties = dutiesOf(view, new Map());
   const [rounds, upkeep] = [8, 4].map((rate) => new Pace(view, () => rate)) as [Pace, Pace];
   const limits = new WriteLimits(2048, 6);
-  const writer = new LogWriter(store, replica, membership, view, limits, rounds, upkeep, SILENT);
+  const fenced = new FencedStore(store, duties);
+  const writer = new LogWriter(fenced, replica, duties, view, limits, rounds, upkeep, SILENT);
   let over = false;
   void writer.tidy().then(() => (over = true));
   for (let i = 0; i < 600 && !over; i++) {
@@ -61,12 +71,11 @@
     get: () => Promise.reject(new Error('away')),
   } as unknown as StoreClient;
   const replica = new Replica(store, view, SILENT, 70);
-  const owned = new Map([[0, { revision: 7 }]]);
-  const membership = { lead: () => ({ revision: 1 }), shares: () => owned } as unknown as Membership;
+  const duties = dutiesOf(view, new Map([[0, 7]]));
   const pace = new Pace(view, () => 10);
   const limits = new WriteLimits(2048, 6);
   return {
-    writer: new LogWriter(store, replica, membership, view, limits, pace, pace, SILENT),
+    writer: new LogWriter(new FencedStore(store, duties), replica, duties, view, limits, pace, pace, SILENT),
     replica,
     sent,
   };
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -3,25 +3,22 @@
   checkpointId,
   chunkKey,
   jobKey,
-  LEAD,
   type LogId,
   logKey,
   LOG_PLACES,
   overKey,
-  ownershipKey,
 } from './keys.js';
 import { type CheckpointRow, checkpointRows } from './checkpoint.js';
 import type { PlacementRecord, StartGroup } from './ledger.js';
 import type { Logger } from './logger.js';
-import type { Membership } from './membership.js';
 import type { Final, LiveJob, Replica } from './replica.js';
+import type { DutyName, DutyRegistry, FencedStore, TermProof } from '#duties';
 import {
   type CommitResult,
   type Guard,
   isTooFast,
   isTooLarge,
   type Pace,
-  type StoreClient,
   type Write,
   type WriteLimits,
 } from '#store';
@@ -50,9 +47,9 @@
   private attempts = 0;
 
   constructor(
-    private readonly store: StoreClient,
+    private readonly store: FencedStore,
     private readonly replica: Replica,
-    private readonly membership: Membership,
+    private readonly duties: DutyRegistry,
     private readonly clock: Clock,
     private readonly limits: WriteLimits,
     /** For records and jobs' ends. */
@@ -84,8 +81,9 @@
     const perTxn = this.valuesPerCommit();
     for (let i = 0; i < parts.length; i += perTxn) {
       const some = parts.slice(i, i + perTxn);
-      const guards = this.ownerships(new Set([...some.map((p) => p.log), ...also]));
-      if (!guards) return false;
+      const proofs = this.proofsFor(new Set([...some.map((p) => p.log), ...also]));
+      if (!proofs) return false;
+      const guards: Guard[] = [];
       const writes: Write[] = [];
       const next = new Map<LogId, number>();
       for (const { log, part } of some) {
@@ -101,7 +99,7 @@
         guards.push({ path: logKey(log, seq), revision });
         writes.push({ set: logKey(log, seq), value: record as unknown as Fields });
       }
-      if (!(await this.settle(guards, writes))) return false;
+      if (!(await this.settle(proofs, 'append records', guards, writes))) return false;
     }
     return true;
   }
@@ -110,34 +108,33 @@
   async finish(jobs: [string, LiveJob][], shares: readonly LogId[]): Promise<void> {
     const perTxn = this.limits.txnOps;
     for (let i = 0; i < jobs.length; i += perTxn) {
-      const guards = this.ownerships(new Set(shares));
-      if (!guards) return;
+      const proofs = this.proofsFor(new Set(shares));
+      if (!proofs) return;
+      const guards: Guard[] = [];
       const some = jobs.slice(i, i + perTxn);
       // A cancellation that came first has changed the key: then the job stays cancelled.
       for (const [id, job] of some) guards.push({ path: jobKey(id), revision: job.revision });
       const writes = some.map(([id]) => endWrite(id, 'done'));
-      if (!(await this.settle(guards, writes))) return;
+      if (!(await this.settle(proofs, 'end jobs', guards, writes))) return;
     }
   }
 
   /** The leader's: writes a checkpoint when enough has come since the last, clears what that made superfluous. */
   async tidy(): Promise<void> {
-    if (this.tidying || !this.membership.lead()) return;
+    const proof = this.duties.prove('lead');
+    if (this.tidying || !proof) return;
     this.tidying = true;
     try {
       const due = Math.max(CHECKPOINT_EVERY, RECORDS_PER_CHUNK * this.replica.checkpointChunks);
       if (this.replica.sinceCheckpoint >= due || this.replica.fullestLog >= CHECKPOINT_FILL * LOG_PLACES)
-        await this.checkpoint();
-      else await this.putAway();
+        await this.checkpoint(proof);
+      else await this.putAway(proof);
       const litter = this.replica.litter().slice(0, this.limits.txnOps);
-      const guards = this.ownerships(new Set<LogId>(['lead']));
-      if (guards && litter.length > 0) {
+      if (litter.length > 0) {
         await sleep(this.clock, this.upkeep.wait());
         this.upkeep.take(litter.length);
-        const result = await this.store.commit(
-          guards,
-          litter.map((remove) => ({ remove })),
-        );
+        const removals = litter.map((remove) => ({ remove }));
+        const result = await this.store.commit([proof], 'clear old checkpoints', [], removals);
         this.adapt(result, this.upkeep);
       }
     } finally {
@@ -146,45 +143,38 @@
   }
 
   /** Takes ended jobs from among the live ones, out of what checkpoints leave of their part. */
-  private async putAway(): Promise<void> {
-    const lead = this.membership.lead();
+  private async putAway(proof: TermProof): Promise<void> {
     const ended = [...this.replica.ended].slice(0, Math.max(1, Math.floor(this.limits.txnOps / 2)));
-    if (!lead || ended.length === 0 || this.upkeep.wait() > 0) return;
-    const guards: Guard[] = [{ path: LEAD, revision: lead.revision }];
+    if (ended.length === 0 || this.upkeep.wait() > 0) return;
+    const guards: Guard[] = [];
     const writes: Write[] = [];
     for (const [id, { status, revision }] of ended) {
       guards.push({ path: jobKey(id), revision });
       writes.push({ remove: jobKey(id) }, { set: overKey(id), value: { Status: status } });
     }
     this.upkeep.take(writes.length);
-    const result = await this.store.commit(guards, writes);
+    const result = await this.store.commit([proof], 'put away ended jobs', guards, writes);
     this.adapt(result, this.upkeep);
     if (result.kind === 'applied') await this.replica.reach(result.epoch, SECOND);
   }
 
-  private async checkpoint(): Promise<void> {
+  private async checkpoint(proof: TermProof): Promise<void> {
     const { ledger, jobs } = this.replica;
     const positions = ledger.allPositions();
-    const lead = this.membership.lead();
-    if (!lead) return;
-    const id = checkpointId(ledger.size, lead.revision, ++this.attempts);
+    const id = checkpointId(ledger.size, proof.term, ++this.attempts);
     const before = this.replica.checkpointRevision;
     const rows = checkpointRows(ledger, (job) => jobs.has(job));
     const chunks = packRows(rows, this.limits.valueBytes - FRAME_BYTES);
     const writes: Write[] = chunks.map((part, i) => ({ set: chunkKey(id, i), value: { Rows: part } }));
     const perTxn = this.valuesPerCommit();
     for (let i = 0; i < writes.length; i += perTxn) {
-      const guards: Guard[] = [{ path: LEAD, revision: lead.revision }];
-      if (!(await this.insist(guards, writes.slice(i, i + perTxn)))) return;
+      if (!(await this.insist(proof, [], writes.slice(i, i + perTxn)))) return;
     }
     // Once a newer checkpoint is the present one, its predecessors' chunks go: a late commit of this one must
     // not bring it back then.
-    const guards: Guard[] = [
-      { path: LEAD, revision: lead.revision },
-      { path: CHECKPOINT_HEAD, revision: before },
-    ];
+    const guards: Guard[] = [{ path: CHECKPOINT_HEAD, revision: before }];
     const head = { Id: id, Positions: positions, Chunks: chunks.length };
-    if (!(await this.insist(guards, [{ set: CHECKPOINT_HEAD, value: head }]))) return;
+    if (!(await this.insist(proof, guards, [{ set: CHECKPOINT_HEAD, value: head }]))) return;
     this.log.debug({ id, chunks: chunks.length }, 'checkpoint');
   }
 
@@ -193,11 +183,11 @@
    * others, and logs can't go on for ever without a checkpoint. Repeating does no harm: the keys of the chunks
    * are its own, and the commit of its head is guarded.
    */
-  private async insist(guards: Guard[], writes: Write[]): Promise<boolean> {
+  private async insist(proof: TermProof, guards: Guard[], writes: Write[]): Promise<boolean> {
     for (let i = 0; i < CHECKPOINT_TRIES; i++) {
       await sleep(this.clock, Math.max(this.upkeep.wait(), i > 0 ? CHECKPOINT_RETRY : 0));
       this.upkeep.take(writes.length);
-      const result = await this.store.commit(guards, writes);
+      const result = await this.store.commit([proof], 'write a checkpoint', guards, writes);
       if (result.kind === 'applied') return true;
       if (result.kind === 'refused') return false;
       this.adapt(result, this.upkeep);
@@ -220,24 +210,29 @@
     return Math.max(1, Math.min(this.limits.txnOps, Math.floor(TXN_BYTES / this.limits.valueBytes)));
   }
 
-  /** Guards on the given ownerships, or null if this node no longer has one of them. */
-  private ownerships(logs: ReadonlySet<LogId>): Guard[] | null {
-    const guards: Guard[] = [];
-    const shares = this.membership.shares();
+  /** The right to write to these logs, or null if this node no longer holds one of them. */
+  private proofsFor(logs: ReadonlySet<DutyName>): [TermProof, ...TermProof[]] | null {
+    const proofs: TermProof[] = [];
     for (const log of logs) {
-      const held = log === 'lead' ? this.membership.lead() : shares.get(log);
-      if (!held) return null;
-      guards.push({ path: ownershipKey(log), revision: held.revision });
+      const proof = this.duties.prove(log);
+      if (!proof) return null;
+      proofs.push(proof);
     }
-    return guards;
+    const [first, ...others] = proofs;
+    return first ? [first, ...others] : null;
   }
 
-  private async settle(guards: Guard[], writes: Write[]): Promise<boolean> {
+  private async settle(
+    proofs: [TermProof, ...TermProof[]],
+    action: string,
+    guards: Guard[],
+    writes: Write[],
+  ): Promise<boolean> {
     this.pace.take(writes.length);
-    const result = await this.store.commit(guards, writes);
+    const result = await this.store.commit(proofs, action, guards, writes);
     if (result.kind === 'applied') return this.replica.reach(result.epoch, SECOND);
     this.adapt(result, this.pace);
-    this.log.debug({ result, last: guards.at(-1)?.path }, 'commit did not land');
+    this.log.debug({ result, action, last: guards.at(-1)?.path }, 'commit did not land');
     // What the log says now decides: a lost answer may hide a commit that was applied.
     await this.replica.barrier();
     return false;
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -1,5 +1,6 @@
 import type { Answer } from '#api';
 import { CloudClient } from '#cloud';
+import { FencedCloud, FencedStore } from '#duties';
 import {
   CONTACT_STEP,
   LOG_PLACES,
@@ -111,7 +112,6 @@
     this.clock = clock;
     this.log = log;
     const store = new StoreClient(settings.state, call);
-    const cloud = new CloudClient(settings.cloud, call);
     const replica = new Replica(store, clock, log, settings.stateRps);
     this.replica = replica;
     this.workers = new WorkerRegistry(settings);
@@ -124,7 +124,10 @@
     const pace = new Pace(clock, (used) => this.logRate(used));
     const upkeep = new Pace(clock, () => settings.stateWriteRps * this.checkpointPart());
     const limits = new WriteLimits(settings.valueBytes, settings.txnOps);
-    this.writer = new LogWriter(store, replica, membership, clock, limits, pace, upkeep, log);
+    const { duties } = membership;
+    const fencedStore = new FencedStore(store, duties);
+    const cloud = new FencedCloud(new CloudClient(settings.cloud, call), duties);
+    this.writer = new LogWriter(fencedStore, replica, duties, clock, limits, pace, upkeep, log);
     this.users = new JobService(settings, store, replica, clock);
     const runTimes = new RunTimes(clock, replica, workers, log);
     this.runTimes = runTimes;
@@ -143,7 +146,7 @@
       ...{
         settings,
         clock,
-        store,
+        store: fencedStore,
         cloud,
         replica,
         membership,
@@ -196,6 +199,11 @@
     return { member: this.parts.settings.member, state, applied, ledger };
   }
 
+  /** The term under which this node believes to lead; null if it doesn't. */
+  leadTerm(): number | null {
+    return this.membership.duties.prove('lead')?.term ?? null;
+  }
+
   /** What this node tells its peers. */
   word(): PeerWord {
     const referred = this.contact.referrals(this.clock.now());
--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -2,7 +2,6 @@
   TOKEN_KEY,
   cutZones,
   eligible,
-  LEAD,
   type LogId,
   type Logger,
   type LogWriter,
@@ -14,7 +13,7 @@
   TYPES,
   zonePair,
 } from '#cluster';
-import type { CloudClient } from '#cloud';
+import type { FencedCloud, FencedStore, TermProof } from '#duties';
 import { shapeOf } from '#pricing';
 import {
   amountsOf,
@@ -29,7 +28,7 @@
   usedPart,
 } from '#fleet';
 import type { Settings } from '#settings';
-import { isTooLarge, type StoreClient, type Write, type WriteLimits } from '#store';
+import { isTooLarge, type Write, type WriteLimits } from '#store';
 import { type Clock, type Fields, fromSeconds, type MachineType, type Micros, SECOND } from '#wire';
 import type { Forecaster, OwnerForecast } from './forecast.js';
 import type { RunTimes } from './run-times.js';
@@ -50,8 +49,8 @@
 export interface LeaderParts {
   settings: Settings;
   clock: Clock;
-  store: StoreClient;
-  cloud: CloudClient;
+  store: FencedStore;
+  cloud: FencedCloud;
   replica: Replica;
   membership: Membership;
   writer: LogWriter;
@@ -65,7 +64,7 @@
 /** What the node that leads does besides owning shares: deals out shares, moves, rents and returns machines. */
 export class Leader {
   private readonly fleet: FleetManager;
-  private revision = 0;
+  private term = 0;
   private lastTypes: Micros = -Infinity;
   private lastShares: Micros = -Infinity;
   private recording = false;
@@ -98,11 +97,11 @@
   /** One step, taken after each of the node's rounds while it leads. `fresh`: the state is recent enough. */
   step(fresh: boolean): void {
     const { membership, replica, clock, forecaster, writer } = this.parts;
-    const lead = membership.lead();
-    if (!lead) return;
-    if (lead.revision !== this.revision) this.begin(lead.revision);
-    if (replica.types.size === 0 || clock.now() - this.lastTypes > TYPES_EVERY) void this.readTypes();
-    void this.dealShares();
+    const proof = membership.duties.prove('lead');
+    if (!proof) return;
+    if (proof.term !== this.term) this.begin(proof);
+    if (replica.types.size === 0 || clock.now() - this.lastTypes > TYPES_EVERY) void this.readTypes(proof);
+    void this.dealShares(proof);
     if (!fresh || this.recording || clock.now() < this.nextStep) return;
     const began = clock.now();
     this.leaveCutZones();
@@ -130,15 +129,15 @@
     }
   }
 
-  private begin(revision: number): void {
-    this.revision = revision;
+  private begin(proof: TermProof): void {
+    this.term = proof.term;
     this.lastTypes = -Infinity;
     this.lastShares = -Infinity;
     this.nextStep = -Infinity;
     this.movedAt.clear();
     this.poorSince.clear();
     this.standby.clear();
-    this.fleet.reset();
+    this.fleet.begin(proof);
   }
 
   private cuts(): Set<string> {
@@ -151,10 +150,9 @@
   }
 
   /** Gives shares without a living owner a new one, and evens out what members own. */
-  private async dealShares(): Promise<void> {
-    const { replica, membership, store, settings, limits, log, clock } = this.parts;
-    const lead = membership.lead();
-    if (this.assigning || !lead) return;
+  private async dealShares(proof: TermProof): Promise<void> {
+    const { replica, store, settings, limits, log, clock } = this.parts;
+    if (this.assigning) return;
     const members = eligible([...replica.members.values()]);
     const plan = planShares(settings.initialSize, replica.owners, members, this.weights());
     const orphaned = plan.some(({ share }) => {
@@ -167,7 +165,6 @@
     const token = replica.token.value + 1;
     const some = plan.slice(0, limits.txnOps - 1);
     const guards = [
-      { path: LEAD, revision: lead.revision },
       { path: TOKEN_KEY, revision: replica.token.revision },
       ...some.map(({ share }) => ({
         path: shareKey(share),
@@ -181,7 +178,7 @@
       const value = { Member: member, Nonce: memberRecord.nonce, Token: token };
       writes.push({ set: shareKey(share), value, leaseId: memberRecord.leaseId });
     }
-    const result = await store.commit(guards, writes);
+    const result = await store.commit([proof], 'deal shares', guards, writes);
     if (result.kind === 'applied') {
       await replica.reach(result.epoch, SECOND);
       log.info({ token, shares: Object.fromEntries(some.map((a) => [a.share, a.member])) }, 'shares dealt');
@@ -353,13 +350,13 @@
     log.info({ jobs: replica.jobs.size, shapes }, 'fleet');
   }
 
-  private async readTypes(): Promise<void> {
-    const { cloud, clock, membership, replica, limits, store } = this.parts;
+  private async readTypes(proof: TermProof): Promise<void> {
+    const { cloud, clock, replica, limits, store } = this.parts;
     this.lastTypes = clock.now();
     const types = await cloud.machineTypes();
-    const lead = membership.lead();
     if (!types) this.lastTypes = clock.now() - TYPES_EVERY + SECOND;
-    if (!types || !lead) return;
+    // Read under an earlier term they may be older than what a successor has written.
+    if (!types || !proof.isCurrent()) return;
     const changed = types.filter((t) => differs(t, replica.types.get(t.name)));
     const perTxn = limits.txnOps;
     for (let i = 0; i < changed.length; i += perTxn) {
@@ -367,7 +364,7 @@
         set: TYPES + t.name,
         value: { Type: t } as unknown as Fields,
       }));
-      const result = await store.commit([{ path: LEAD, revision: lead.revision }], writes);
+      const result = await store.commit([proof], 'write machine types', [], writes);
       if (isTooLarge(result)) limits.shrink();
     }
   }
--- a/packages/fleet/fleet-manager.ts
+++ b/packages/fleet/fleet-manager.ts
@@ -1,5 +1,6 @@
 import type { Destination, MachineEntry, Ledger, Logger, RecordDraft } from '#cluster';
-import { type CloudClient, MAX_DELETE, MAX_RENT } from '#cloud';
+import { MAX_DELETE, MAX_RENT } from '#cloud';
+import { type FencedCloud, RentalIntent, ReturnIntent, type TermProof } from '#duties';
 import {
   type Clock,
   fromSeconds,
@@ -46,6 +47,8 @@
 const HIRE_PATIENCE: Micros = 20 * SECOND;
 const REFUSAL: Micros = 10 * SECOND;
 const MOST_REFUSAL: Micros = 40 * SECOND;
+/** Beyond twice its nominal lag: how long a machine may be missing from the list before it counts as gone. */
+const LIST_PATIENCE: Micros = 8 * SECOND;
 const GONE_KEPT: Micros = 120 * SECOND;
 
 type Pending = Required<Pick<RecordDraft, 'machines' | 'removed' | 'rentals' | 'settledRentals' | 'moves'>>;
@@ -53,7 +56,8 @@
 /**
  * Rents and returns machines for the leader. What it wants written into the leader's log it gathers in
  * `pending`; what it asks of the cloud it takes from the ledger, so a request is always recorded before it is
- * made, and a machine that may be in use is only deleted once its owner has let it go.
+ * made. The cloud may execute it minutes late, under a successor: so a machine is named for return first, which
+ * is final, and deleted once its owner has let it go or the cloud's list shows that it stopped or is gone.
  */
 export class FleetManager {
   private pending: Pending = empty();
@@ -62,26 +66,33 @@
   private readonly gone = new Map<string, Micros>();
   private readonly idleSince = new Map<string, Micros>();
   private listed: Map<string, ListedMachine> | null = null;
+  /** When that list was asked for. */
+  private listedAt: Micros = -Infinity;
   /** Listed machines that stopped and are in no record. */
-  private readonly wrecks = new Set<string>();
+  private readonly wrecks = new Map<string, ReturnIntent>();
+  /** Since when this holder has known each machine, by its own steady clock. */
+  private readonly knownSince = new Map<string, Micros>();
   private lastList: Micros = -Infinity;
   private listing = false;
   private deleting = false;
   private rentals = 0;
   private since: Micros = 0;
+  /** The term of the lead under which everything is asked. */
+  private proof: TermProof | null = null;
 
   constructor(
-    private readonly cloud: CloudClient,
+    private readonly cloud: FencedCloud,
     private readonly clock: Clock,
     private readonly facts: () => FleetFacts,
     private readonly log: Logger,
     private readonly wake: () => void,
   ) {}
 
-  /** A new leadership starts from what the log says. */
-  reset(): void {
+  /** A new term starts from what the log says. */
+  begin(proof: TermProof): void {
+    this.proof = proof;
     this.pending = empty();
-    for (const map of [this.asking, this.refusals, this.gone, this.idleSince]) map.clear();
+    for (const map of [this.asking, this.refusals, this.gone, this.idleSince, this.knownSince]) map.clear();
     this.wrecks.clear();
     this.listed = null;
     this.lastList = -Infinity;
@@ -90,22 +101,30 @@
 
   /** What is to go into the next record; it stays pending until {@link landed} is told of it. */
   draft(): RecordDraft {
-    const {
-      machines: Hosts,
-      removed: Gone,
-      rentals: Hires,
-      settledRentals: Settled,
-      moves: Moves,
-    } = this.pending;
+    this.dropRecorded();
+    const { machines, removed, rentals, settledRentals, moves } = this.pending;
     return {
-      machines: [...Hosts],
-      removed: [...Gone],
-      rentals: [...Hires],
-      settledRentals: [...Settled],
-      moves: [...Moves],
+      machines: [...machines],
+      removed: [...removed],
+      rentals: [...rentals],
+      settledRentals: [...settledRentals],
+      moves: [...moves],
     };
   }
 
+  /**
+   * A record whose answer was lost may have landed all the same, and its rows lie here still. Written again, the name
+   * of a rental that is settled in between would be used twice.
+   */
+  private dropRecorded(): void {
+    const { ledger } = this.facts();
+    const { pending } = this;
+    pending.rentals = pending.rentals.filter(([id]) => !ledger.rentals.has(id));
+    pending.settledRentals = pending.settledRentals.filter((id) => ledger.rentals.has(id));
+    pending.machines = pending.machines.filter(([host]) => !ledger.hosts.has(host));
+    pending.removed = pending.removed.filter((host) => ledger.hosts.has(host));
+  }
+
   landed(draft: RecordDraft): void {
     const p = this.pending;
     p.machines = p.machines.filter((r) => !draft.machines?.includes(r));
@@ -125,12 +144,16 @@
 
   /** One step: rents for the given needs, returns what idles, and talks to the cloud. */
   step(shares: readonly ShareNeeds[]): void {
+    const { proof } = this;
+    if (!proof) return;
     const { ledger } = this.facts();
-    for (const share of shares) this.rent(share);
-    for (const rental of ledger.rentals.keys()) void this.ask(rental);
-    void this.list();
+    this.noteMachines();
+    for (const share of shares) this.rent(share, proof);
+    for (const rental of ledger.rentals.keys()) void this.ask(rental, proof);
+    void this.list(proof);
     this.sendBack(shares.some((s) => s.needs.length > 0));
-    void this.deleteUnwanted();
+    this.giveUp();
+    void this.deleteReturned(proof);
     if (isFilled(this.pending)) this.wake();
   }
 
@@ -138,12 +161,29 @@
     return Math.max(0, this.clock.wall() - host.since * MS);
   }
 
+  /**
+   * How long this holder had known the machine for certain when it asked for the list it has: by its own steady clock
+   * alone, so that no disagreement of clocks makes a young machine look as if the list should show it. In an outage of
+   * the cloud the list gets old, and says nothing of machines that have come since.
+   */
+  private knownBeforeList(host: string): Micros {
+    return this.listedAt - (this.knownSince.get(host) ?? this.clock.now());
+  }
+
+  private noteMachines(): void {
+    const { ledger } = this.facts();
+    const now = this.clock.now();
+    for (const host of ledger.hosts.keys()) if (!this.knownSince.has(host)) this.knownSince.set(host, now);
+    if (this.knownSince.size === ledger.hosts.size) return;
+    for (const host of this.knownSince.keys()) if (!ledger.hosts.has(host)) this.knownSince.delete(host);
+  }
+
   private isBooting(host: MachineEntry): boolean {
     const boot = fromSeconds(this.facts().types.get(host.machineType)?.bootS ?? 60);
     return host.status === 'new' && this.age(host) <= boot * 2.2 + 5 * SECOND;
   }
 
-  private rent({ share, needs, soon, reaches }: ShareNeeds): void {
+  private rent({ share, needs, soon, reaches }: ShareNeeds, { term }: TermProof): void {
     const { ledger, types } = this.facts();
     if (needs.length === 0) return;
     const coming: Coming[] = [...soon];
@@ -175,7 +215,8 @@
       // A request takes only so many; going on with a dearer kind instead would cost money every hour.
       for (let left = wanted; left > 0; left -= MAX_RENT) {
         const number = Math.min(left, MAX_RENT);
-        const rental = `h-${this.clock.wall()}-${ledger.size}-${++this.rentals}`;
+        // Unique by the term, which no other holder has, and the count of this process; the time is for readers.
+        const rental = `hire-${Math.floor(this.clock.wall() / SECOND)}-${term}-${++this.rentals}`;
         this.pending.rentals.push([rental, machineType, zone, spot, number, share]);
         this.log.info({ hire: rental, machineType, zone, spot, number, share }, 'renting');
       }
@@ -193,21 +234,15 @@
     this.refusals.set(key, { until: this.clock.now() + pause, pause });
   }
 
-  private async ask(name: string): Promise<void> {
+  private async ask(name: string, proof: TermProof): Promise<void> {
     const rental = this.facts().ledger.rentals.get(name);
     const now = this.clock.now();
     if (!rental || (this.asking.get(name) ?? -Infinity) > now || this.pending.settledRentals.includes(name))
       return;
     this.asking.set(name, now + HIRE_RETRY + 5 * SECOND);
-    const { machineType, zone, spot, number } = rental;
-    const result = await this.cloud.rent({
-      id: name,
-      machineType,
-      zone,
-      spot,
-      count: number,
-    });
-    if (this.facts().ledger.rentals.get(name) === undefined) return;
+    const { number } = rental;
+    const result = await this.cloud.rent(proof, RentalIntent.fromRecord(rental));
+    if (result.kind === 'superseded' || this.facts().ledger.rentals.get(name) === undefined) return;
     this.asking.set(name, this.clock.now() + HIRE_RETRY);
     if (result.kind === 'rented') {
       for (const host of result.hosts) this.adopt(host, rental, rental.share, 0);
@@ -236,19 +271,22 @@
     return !this.pending.machines.some(([other]) => other === host);
   }
 
-  private async list(): Promise<void> {
+  private async list(proof: TermProof): Promise<void> {
     const now = this.clock.now();
     if (this.listing || now - this.lastList < LIST_EVERY) return;
     this.listing = true;
     this.lastList = now;
     const rows = await this.cloud.machines();
     this.listing = false;
-    if (!rows) return;
+    // One that was asked for under an earlier term may be older than what this term relies on.
+    if (!rows || !proof.isCurrent()) return;
     this.listed = new Map(rows.map((r) => [r.host, r]));
+    this.listedAt = now;
     const { ledger, shareFor } = this.facts();
     for (const r of rows) {
       const offer = { machineType: r.machineType, zone: r.zone, spot: r.spot };
-      if (r.state === 'failed' && !ledger.hosts.has(r.host)) this.wrecks.add(r.host);
+      const stopped = ledger.hosts.has(r.host) ? null : ReturnIntent.fromStoppedMachine(r);
+      if (stopped) this.wrecks.set(r.host, stopped);
       else if (this.isUnknown(r.host)) this.adopt(r.host, offer, shareFor(r.zone), r.ageS);
     }
     for (const [host, until] of this.gone) if (until < now) this.gone.delete(host);
@@ -274,37 +312,54 @@
     for (const host of planReturns(idle, keep)) this.move(host, 'return', 'idle');
   }
 
-  /** Why the machine may be deleted now, or null. */
-  private deletionReason(host: MachineEntry): string | null {
-    const { listLag, lease, isCut } = this.facts();
-    if (host.share === null && host.destination === 'return') return 'returned';
+  /** Machines that are of no more use are named for return: from then on nobody can use them again. */
+  private giveUp(): void {
+    for (const host of this.facts().ledger.hosts.values()) {
+      const why = host.destination === 'return' ? null : this.reasonToGiveUp(host);
+      if (why !== null) this.move(host.host, 'return', why);
+    }
+  }
+
+  private reasonToGiveUp(host: MachineEntry): string | null {
     if (host.status === 'lost') return 'lost';
-    const row = this.listed?.get(host.host);
-    if (row?.state === 'failed') return 'failed';
-    if (host.status === 'up') return null;
-    // The list lags by up to twice its nominal time; a machine that it should show by now is gone.
-    if (this.listed && !row && this.age(host) > listLag * 2 + 8 * SECOND) return 'not listed';
+    const listing = this.listingOf(host);
+    if (listing !== null) return listing;
+    const { lease, isCut } = this.facts();
     // A worker may have come up while its owner could not be reached: a new leader gives it time.
     const patient = this.clock.now() - this.since < lease || isCut(host.zone);
     return host.status === 'new' && !this.isBooting(host) && !patient ? 'late' : null;
   }
 
-  private async deleteUnwanted(): Promise<void> {
-    if (this.deleting) return;
-    const unwanted = new Map<string, string>();
+  /** What the cloud's list says of a machine that is not up: it stopped, or is gone. */
+  private listingOf(host: MachineEntry): 'failed' | 'not listed' | null {
+    const row = this.listed?.get(host.host);
+    if (row?.state === 'failed') return 'failed';
+    if (host.status === 'up' || row || !this.listed) return null;
+    // The list lags by up to twice its nominal time; a machine that it should show by now is gone.
+    return this.knownBeforeList(host.host) > this.facts().listLag * 2 + LIST_PATIENCE ? 'not listed' : null;
+  }
+
+  private returnIntents(): Map<string, ReturnIntent> {
+    const intents = new Map(this.wrecks);
     for (const host of this.facts().ledger.hosts.values()) {
-      const why = this.pending.removed.includes(host.host) ? null : this.deletionReason(host);
-      if (why !== null) unwanted.set(host.host, why);
+      if (this.pending.removed.includes(host.host)) continue;
+      const intent = ReturnIntent.fromRecord(host, this.listingOf(host));
+      if (intent) intents.set(host.host, intent);
     }
-    for (const host of this.wrecks) unwanted.set(host, 'failed');
-    const hosts = [...unwanted.keys()].slice(0, MAX_DELETE);
-    if (hosts.length === 0) return;
+    return intents;
+  }
+
+  private async deleteReturned(proof: TermProof): Promise<void> {
+    if (this.deleting) return;
+    const intents = [...this.returnIntents().values()].slice(0, MAX_DELETE);
+    if (intents.length === 0) return;
     this.deleting = true;
-    const ok = await this.cloud.delete(hosts);
+    const isGone = await this.cloud.delete(proof, intents);
     this.deleting = false;
-    if (!ok) return;
-    this.log.info({ hosts: Object.fromEntries(unwanted) }, 'machines returned');
-    for (const host of hosts) {
+    if (!isGone) return;
+    const reasons = intents.map(({ host, reason }) => [host, reason]);
+    this.log.info({ hosts: Object.fromEntries(reasons) }, 'machines returned');
+    for (const { host } of intents) {
       this.gone.set(host, this.clock.now() + GONE_KEPT);
       this.wrecks.delete(host);
       if (this.facts().ledger.hosts.has(host)) this.pending.removed.push(host);
--- /dev/null
+++ b/packages/testkit/duties.test.ts
@@ -0,0 +1,43 @@
+/** Duties that one controller holds at a time: nothing that a replaced holder does takes effect, or it harms nobody. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SECOND } from '#wire';
+import { randomJob } from './random-jobs.js';
+import { trouble } from './random-troubles.js';
+import { SimWorld } from './sim-world.js';
+
+/** Random troubles beside rentals and deletions that are carried out up to a minute late, and slow boots. */
+async function lateRequests(seed: number): Promise<SimWorld> {
+  const world = new SimWorld({ seed });
+  const { random, clock, cloud } = world;
+  cloud.lateRequests = 0.3;
+  cloud.slowBoots = 0.3;
+  let jobs = 0;
+  const arrive = (): void => {
+    if (clock.time > 150 * SECOND) return;
+    world.submit(randomJob(random, jobs++), random() < 0.15 ? random() * 20 * SECOND : null);
+    clock.at(random() * 5 * SECOND, arrive);
+  };
+  const harm = (): void => {
+    if (clock.time > 150 * SECOND) return;
+    trouble(world);
+    clock.at((4 + random() * 20) * SECOND, harm);
+  };
+  clock.at(SECOND, arrive);
+  clock.at(20 * SECOND, harm);
+  await world.run(220 * SECOND);
+  cloud.lateRequests = 0;
+  world.rules.troublesOver(clock.time);
+  await world.run(160 * SECOND);
+  return world;
+}
+
+const [FROM, RUNS] = [Number(process.env['DUTIES_FROM'] ?? 1), Number(process.env['DUTIES_RUNS'] ?? 6)];
+for (let seed = FROM; seed < FROM + RUNS; seed++) {
+  test(`late rentals and deletions harm no machine in use, seed ${seed}`, async () => {
+    const world = await lateRequests(seed);
+    assert.ok(world.rules.starts > 20, `only ${world.rules.starts} starts`);
+    assert.ok(world.history.counts.deletions > 0, 'nothing was deleted');
+    assert.deepEqual(world.rules.unfinished(), []);
+  });
+}
--- /dev/null
+++ b/packages/testkit/duty-history.ts
@@ -0,0 +1,127 @@
+/**
+ * Checks a history of effects: what the stand-in state service and cloud really did, and under which term it was
+ * asked for. An effect of a term that is over may show only where the record rule makes it harmless: the machine
+ * or the rental was named for it in the leader's log first, and nobody may use it otherwise any more.
+ */
+import {
+  CHECKPOINT_HEAD,
+  CHUNKS,
+  JOBS,
+  LEAD,
+  Ledger,
+  logOfKey,
+  LOGS,
+  OVER,
+  ownershipKey,
+  type PlacementRecord,
+  SHARES,
+  TOKEN_KEY,
+  TYPES,
+} from '#cluster';
+import { type Fields, isFields } from '#wire';
+import { BrokenRule } from './rules.js';
+
+/** Whose effects are judged: the version in production knows neither terms nor the record rule. */
+export interface Sender {
+  /** The term of the lead that the sender believed in when it sent; null if it named none. */
+  term: number | null;
+  isOld: boolean;
+}
+
+/** How many effects there were of each kind; those of terms that were over are counted apart. */
+export interface EffectCounts {
+  commits: number;
+  rentals: number;
+  deletions: number;
+  lateRentals: number;
+  lateDeletions: number;
+  /** Deletions by the version in production that no record had named: a known fault of that version. */
+  unrecordedByOld: number;
+}
+
+/** What a transaction has to guard: the duties under which each of its writes may be made. */
+function dutyKeysOf(write: Fields): string[] {
+  const path = String(write['Set'] ?? write['Remove']);
+  if (path.startsWith(LOGS)) return [ownershipKey(logOfKey(path))];
+  const isLeaders = [SHARES, TYPES, CHUNKS, OVER].some((prefix) => path.startsWith(prefix));
+  if (isLeaders || path === TOKEN_KEY || path === CHECKPOINT_HEAD) return [LEAD];
+  // Ended jobs are put away by the leader.
+  return path.startsWith(JOBS) && write['Remove'] !== undefined ? [LEAD] : [];
+}
+
+export class DutyHistory {
+  readonly counts: EffectCounts = {
+    ...{ commits: 0, rentals: 0, deletions: 0, lateRentals: 0, lateDeletions: 0, unrecordedByOld: 0 },
+  };
+  private readonly ledger = new Ledger();
+  private readonly recordedRentals = new Set<string>();
+  private term = 0;
+
+  constructor(private readonly revisionOf: (path: string) => number) {}
+
+  /** The state service is about to apply this transaction. */
+  beforeCommit(guards: readonly Fields[], writes: readonly Fields[]): void {
+    this.counts.commits++;
+    for (const write of writes) {
+      for (const key of dutyKeysOf(write)) this.checkGuard(key, guards, write);
+      const isEnd = isFields(write['V']) && write['V']['Status'] === 'done';
+      if (isEnd && String(write['Set']).startsWith(JOBS)) this.checkShareGuard(guards, write);
+    }
+  }
+
+  /** The state service has applied this transaction at the given epoch. */
+  afterCommit(writes: readonly Fields[], epoch: number): void {
+    for (const write of writes) {
+      const path = String(write['Set'] ?? '');
+      if (path === LEAD) this.term = epoch;
+      if (path.startsWith(LOGS)) this.takeRecord(path, write['V'] as unknown as PlacementRecord);
+    }
+  }
+
+  /** The cloud rents machines under this name for the first time. */
+  rented(name: string, sender: Sender): void {
+    this.counts.rentals++;
+    if (this.isOver(sender)) this.counts.lateRentals++;
+    if (!this.recordedRentals.has(name)) throw new BrokenRule('unrecorded', `rental ${name} is in no record`);
+  }
+
+  /** The cloud deletes a machine that was there; `works`: it had not stopped by itself. */
+  deleted(host: string, works: boolean, sender: Sender): void {
+    this.counts.deletions++;
+    if (this.isOver(sender)) this.counts.lateDeletions++;
+    if (!works) return;
+    const entry = this.ledger.hosts.get(host);
+    if (entry?.destination === 'return' && entry.share === null) return;
+    if (sender.isOld) this.counts.unrecordedByOld++;
+    else {
+      const state = entry ? `share ${entry.share}, destination ${entry.destination}` : 'in no record';
+      throw new BrokenRule(
+        'unrecorded',
+        `${host} is deleted in term ${sender.term} of ${this.term}: ${state}`,
+      );
+    }
+  }
+
+  private isOver({ term }: Sender): boolean {
+    return term !== null && term !== this.term;
+  }
+
+  private checkGuard(key: string, guards: readonly Fields[], write: Fields): void {
+    const revision = this.revisionOf(key);
+    if (revision > 0 && guards.some((g) => g['Path'] === key && Number(g['Stamp']) === revision)) return;
+    throw new BrokenRule('ownership', `${String(write['Set'] ?? write['Remove'])} landed without ${key}`);
+  }
+
+  private checkShareGuard(guards: readonly Fields[], write: Fields): void {
+    if (guards.some((g) => String(g['Path']).startsWith(SHARES))) return;
+    throw new BrokenRule('ownership', `${String(write['Set'])} was ended by no owner of a share`);
+  }
+
+  private takeRecord(path: string, record: PlacementRecord): void {
+    for (const [name] of record.rentals ?? []) {
+      if (this.recordedRentals.has(name)) throw new BrokenRule('unrecorded', `rental ${name} is named twice`);
+      this.recordedRentals.add(name);
+    }
+    this.ledger.apply(logOfKey(path), record);
+  }
+}
--- a/packages/testkit/index.ts
+++ b/packages/testkit/index.ts
@@ -1,4 +1,5 @@
 export * from './agreement.js';
+export * from './duty-history.js';
 export * from './rules.js';
 export * from './sim-clock.js';
 export * from './sim-cloud.js';
--- a/packages/testkit/sim-cloud.ts
+++ b/packages/testkit/sim-cloud.ts
@@ -1,4 +1,5 @@
 import { type Fields, isFields, type MachineType, type Micros, SECOND } from '#wire';
+import type { Sender } from './duty-history.js';
 import type { MachineFacts } from './rules.js';
 import type { SimClock } from './sim-clock.js';
 import type { Handler, Served } from './sim-net.js';
@@ -13,6 +14,12 @@
   rows: Fields[];
 }
 
+/** Who sent a request, as the simulated world notes it beside the protocol's own fields. */
+function senderOf(body: Fields): Sender {
+  const term = body['SenderTerm'];
+  return { term: typeof term === 'number' ? term : null, isOld: body['SenderIsOld'] === true };
+}
+
 function encodeType(type: MachineType): Fields {
   return {
     Sku: type.name,
@@ -32,6 +39,14 @@
 export class SimCloud {
   readonly hosts = new Map<string, CloudHost>();
   outage = false;
+  /** Share of rental and deletion requests that get no answer and are carried out up to `lateBy` later. */
+  lateRequests = 0;
+  lateBy: Micros = 60 * SECOND;
+  /** Share of machines that take several times as long to boot. */
+  slowBoots = 0;
+  /** Called when machines are rented under a name for the first time, and for each machine that is deleted. */
+  onRented: (name: string, sender: Sender) => void = () => undefined;
+  onDeleted: (host: CloudHost, sender: Sender) => void = () => undefined;
   private readonly answers = new Map<string, string[]>();
   private snapshots: Snapshot[] = [];
   private count = 0;
@@ -55,10 +70,12 @@
     const fields = isFields(body) ? body : {};
     if (url.pathname === '/machine_types')
       return { status: 200, body: { Builds: this.types.map(encodeType) } };
-    if (method === 'POST' && url.pathname === '/rentals') return this.rent(fields);
-    if (method === 'POST' && url.pathname === '/rentals/delete')
-      return this.remove(fields['Hosts'] as string[]);
-    return this.list(url.searchParams);
+    if (method !== 'POST') return this.list(url.searchParams);
+    const act = (): Served =>
+      url.pathname === '/rentals' ? this.rent(fields) : this.remove(fields['Hosts'] as string[], fields);
+    if (this.lateRequests === 0 || this.random() >= this.lateRequests) return act();
+    this.clock.at(this.random() * this.lateBy, act);
+    return new Promise(() => undefined);
   };
 
   /** The machine stops with all that is on it; the list shows it only later. */
@@ -90,6 +107,7 @@
     ).length;
     const number = Math.min(Number(body['Number']), this.capacity - taken);
     if (number <= 0) return { status: 503, body: { error: 'no capacity' } };
+    this.onRented(request, senderOf(body));
     const Hosts: string[] = [];
     for (let i = 0; i < number; i++) {
       const name = `n-${String(this.count++).padStart(6, '0')}`;
@@ -99,7 +117,8 @@
       const never = this.random() < 0.05;
       const boot = (this.types.find((t) => t.name === facts.machineType)?.bootS ?? 10) * SECOND;
       if (never) continue;
-      this.clock.at(boot * (0.6 + this.random() * 0.9), () => {
+      const slowness = this.slowBoots > 0 && this.random() < this.slowBoots ? 6 : 1;
+      this.clock.at(slowness * boot * (0.6 + this.random() * 0.9), () => {
         if (this.hosts.get(name) !== host) return;
         host.state = 'running';
         this.boot(host);
@@ -109,10 +128,11 @@
     return { status: 200, body: { Hosts } };
   }
 
-  private remove(names: string[]): Served {
+  private remove(names: string[], body: Fields): Served {
     for (const name of names) {
       const host = this.hosts.get(name);
       if (!host) continue;
+      this.onDeleted(host, senderOf(body));
       this.destroy(host);
       this.hosts.delete(name);
     }
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -1,18 +1,8 @@
 import { Controller } from '#daemon';
-import {
-  CHECKPOINT_HEAD,
-  chunkKey,
-  CHUNKS,
-  LEAD,
-  type Ledger,
-  type Logger,
-  logOfKey,
-  LOGS,
-  ownershipKey,
-  type Ping,
-} from '#cluster';
+import { CHECKPOINT_HEAD, chunkKey, CHUNKS, LEAD, type Ledger, type Logger, LOGS, type Ping } from '#cluster';
 import { type Settings, standardTuning } from '#settings';
 import {
+  type Caller,
   decodeJobStatus,
   encodeSubmission,
   type Fields,
@@ -27,6 +17,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { LedgerAgreement } from './agreement.js';
 import type { ProductionVersion } from './production-version.js';
+import { DutyHistory } from './duty-history.js';
 import { BrokenRule, type FreeRoom, RuleChecker, sampleJob } from './rules.js';
 import { type Gate, SimClock } from './sim-clock.js';
 import { SimGangs } from './sim-gang.js';
@@ -132,6 +123,8 @@
   readonly cloud: SimCloud;
   readonly rules: RuleChecker;
   readonly gangs: SimGangs;
+  /** What was done under which term. */
+  readonly history: DutyHistory;
   private readonly agreement = new LedgerAgreement();
   readonly workers = new Map<string, SimWorker>();
   readonly specs = new Map<string, JobSpec>();
@@ -165,10 +158,12 @@
       valueBytes: settings.valueBytes,
       pageRows: options.pageRows ?? 1000,
     });
+    this.history = new DutyHistory((path) => this.store.rows.get(path)?.revision ?? 0);
     this.store.beforeApply = (guards, writes) => {
-      this.checkOwnership(guards, writes);
+      this.history.beforeCommit(guards, writes);
     };
     this.store.afterApply = (writes) => {
+      this.history.afterCommit(writes, this.store.epoch);
       this.agreement.applied(writes);
       this.checkCheckpoint(writes);
       this.tellOf(writes);
@@ -193,6 +188,16 @@
         this.workers.delete(host.host);
       },
     );
+    this.cloud.onRented = (name, sender) => {
+      this.guarded(() => {
+        this.history.rented(name, sender);
+      });
+    };
+    this.cloud.onDeleted = ({ host, state }, sender) => {
+      this.guarded(() => {
+        this.history.deleted(host, state === 'starting' || state === 'running', sender);
+      });
+    };
     this.net.serve(STATE, null, (...args) => this.guarded(() => this.store.handler(...args)));
     this.net.serve(CLOUD, null, this.cloud.handler);
     for (let i = 0; i < (options.nodes ?? 3); i++) {
@@ -241,7 +246,7 @@
       clock: this.clock.view(gate, drift, wallOff),
       random: this.random,
       incarnation: `i${++this.starts}`,
-      call: this.net.caller(settings.member, settings.domain, gate),
+      call: this.callerOf(node, this.net.caller(settings.member, settings.domain, gate)),
       ping: this.pingFrom(settings.member, settings.domain, gate),
       log: this.options.log ?? SILENT,
     });
@@ -271,6 +276,15 @@
     });
   }
 
+  /** Notes beside each request to the cloud who sends it, and under which term. */
+  private callerOf(node: Node, call: Caller): Caller {
+    return (endpoint, method, path, body, timeout) => {
+      if (endpoint !== CLOUD || !isFields(body)) return call(endpoint, method, path, body, timeout);
+      const sender = { SenderTerm: leadTermOf(node), SenderIsOld: node.isOld };
+      return call(endpoint, method, path, { ...body, ...sender }, timeout);
+    };
+  }
+
   killNode(index: number): void {
     const node = this.nodes[index] as Node;
     if (!node.life.on) return;
@@ -438,19 +452,6 @@
       );
   }
 
-  /** No record lands in a log without a guard on the ownership of it that stands at that moment. */
-  private checkOwnership(guards: Fields[], writes: Fields[]): void {
-    for (const w of writes) {
-      const path = String(w['Set'] ?? '');
-      if (!path.startsWith(LOGS)) continue;
-      const key = ownershipKey(logOfKey(path));
-      const owner = this.store.rows.get(key);
-      if (!owner || !guards.some((g) => g['Path'] === key && Number(g['Stamp']) === owner.revision)) {
-        throw new BrokenRule('ownership', `${path} landed without ${key}`);
-      }
-    }
-  }
-
   private tellOf(writes: Fields[]): void {
     for (const w of writes) {
       const path = String(w['Set'] ?? '');
@@ -481,4 +482,9 @@
   }
 }
 
+/** The term of the lead that a node of the present version believes to hold; null if it believes in none. */
+function leadTermOf(node: Node): number | null {
+  return node.isOld ? null : (node.controller?.leadTerm() ?? null);
+}
+
 export { sampleJob };
