A job that no machine suits claims its team's limit only for as long as a machine takes to come

Change: once it has waited for 2.2 times the longest boot time it claims nothing while no machine up suits it. It can't start in such a round, machines for it are still asked for, and it comes first again once one is up.

--- a/packages/daemon/round-input.ts
+++ b/packages/daemon/round-input.ts
@@ -3,7 +3,7 @@
 import { amountsOf } from '#fleet';
 import { type RoomyMachine, take, type WaitingJob } from '#pricing';
 import type { Settings, Tuning } from '#settings';
-import { type Clock, type JobSpec, type Micros, MS, type Rank, SECOND } from '#wire';
+import { type Clock, fromSeconds, type JobSpec, type Micros, MS, type Rank, SECOND } from '#wire';
 import { placementOf, type Session, type WorkerRegistry } from '#workers';
 import type { RunTimes } from './run-times.js';
 
@@ -17,6 +17,8 @@
 const MOST_DOUBLINGS = 4;
 /** A job at fault is tried again at least so often: what failed it may be over, and nothing waits without reason. */
 const LONGEST_REST: Micros = 45 * SECOND;
+/** A machine that takes longer than so many times its nominal boot time is not counted on. */
+const BOOT_PATIENCE = 2.2;
 /** Waiting for so many times what doubles a priority is long. */
 const LONG_WAIT = 2;
 
@@ -72,6 +74,7 @@
   waiting(teams: ReadonlySet<string>, ending: ReadonlySet<Placement>): WaitingJob[] {
     const { ledger, jobs } = this.replica;
     const wall = this.clock.wall();
+    const bootPatience = this.bootPatience();
     const out: WaitingJob[] = [];
     for (const [id, job] of jobs) {
       const { spec } = job;
@@ -85,7 +88,8 @@
         const zone = this.zoneOf(p.host);
         placedByZone.set(zone, (placedByZone.get(zone) ?? 0) + 1);
       }
-      const waited = Math.max(0, wall - job.at * MS) / this.waitDoubles(spec);
+      const age = Math.max(0, wall - job.at * MS);
+      const waited = age / this.waitDoubles(spec);
       // Spare room is what guests are for: what has begun of their work is not raised above that of others.
       const begun = entry !== undefined && (entry.placed.size > 0 || entry.done.count > 0);
       const raised = this.guests.has(spec.team) && begun ? 1 : raise(waited);
@@ -98,6 +102,7 @@
         waiting: count,
         taskCount: spec.taskCount,
         gang: spec.shape === 'gang',
+        isOverdue: age > bootPatience,
         machineTypes: spec.machineTypes,
         zone: spec.zone,
         singleZone: spec.singleZone,
@@ -110,6 +115,12 @@
     return out;
   }
 
+  /** How long a machine may take to come up, whichever type it is. */
+  private bootPatience(): Micros {
+    const boots = [...this.replica.types.values()].map((type) => fromSeconds(type.bootS));
+    return Math.max(0, ...boots) * BOOT_PATIENCE;
+  }
+
   /** Within what time the tasks of a class should have started; Infinity if its users say nothing of it. */
   startAim(jobClass: string): Micros {
     return this.startAims.get(jobClass) ?? Infinity;
--- a/packages/pricing/round.test.ts
+++ b/packages/pricing/round.test.ts
@@ -237,3 +237,24 @@
   assert.ok(cpu < 3, `${cpu} a CPU, where 2 is the most that anyone pays`);
   assert.equal(play([machine('n-0')]).starts[0]?.job, 'j-2');
 });
+
+// A job of highest rank that only machines of a type that never came could take held its team's whole limit for
+// minutes, while small machines stood idle beside a best-effort job: docs/incidents/upgrade-132.md.
+test('a job that no machine suits holds its team back only for as long as a machine takes to come', () => {
+  const play = (isOverdue: boolean): string[] => {
+    const waitsForLarge = job('j-1', { priority: 24, waiting: 8, machineTypes: ['large'], isOverdue });
+    const runsAnywhere = job('j-2', { priority: 1, order: 2, waiting: 2 });
+    const team = {
+      ...{ name: 'blue', used: { cpus: 0, gpus: 0, memGb: 0 }, guaranteed: { cpus: 8, gpus: 0 } },
+      most: { cpus: 16, gpus: 0 },
+    };
+    const result = playRound({
+      ...{ jobs: [waitsForLarge, runsAnywhere], machines: [machine('m-1')], teams: [team] },
+      ...{ prices: new Map(), options: OPTIONS, random: random(1) },
+    });
+    assert.equal(result.unmet.get('j-1'), 8, 'machines for it are still asked for');
+    return result.starts.map((start) => start.job);
+  };
+  assert.deepEqual(play(false), []);
+  assert.deepEqual(play(true), ['j-2', 'j-2']);
+});
--- a/packages/pricing/round.ts
+++ b/packages/pricing/round.ts
@@ -17,7 +17,7 @@
 /** Prices every shape, then places what waits: one round of the design. Pure but for the given randomness. */
 export function playRound(input: RoundInput): RoundResult {
   const pools = poolByShape(input.machines, input.prices);
-  const segments = withinLimits(input);
+  const segments = withinLimits(input, pools);
   const top = Math.max(1, ...segments.map((s) => s.priority));
   for (let pass = 0; pass < input.options.passes; pass++) movePrices(pools, segments, top, input.options);
   return place(input, pools, segments, top);
@@ -25,9 +25,11 @@
 
 /**
  * Splits what waits into segments and leaves out what lies beyond its team's limit. A team's jobs come in
- * the order of their priority, equal ones in the order in which they were accepted.
+ * the order of their priority, equal ones in the order in which they were accepted. One that no machine up at
+ * present suits keeps its claim only for as long as a machine takes to come: what it holds back for longer would
+ * stand idle (docs/incidents/upgrade-132.md).
  */
-function withinLimits(input: RoundInput): Segment[] {
+function withinLimits(input: RoundInput, pools: readonly Pool[]): Segment[] {
   const segments: Segment[] = [];
   const { gpuTaskWeight, guaranteeWeight } = input.options;
   const rank = (job: WaitingJob): number => job.priority * (job.need.gpus > 0 ? 1 + gpuTaskWeight : 1);
@@ -49,9 +51,11 @@
       const fitting = Math.min(job.waiting, slots(job.need, left));
       const count = countable(job, fitting);
       const guaranteed = countable(job, Math.min(count, slots(job.need, safe)));
-      // A gang that the limit has no room for yet holds back what ranks lower: one by one it would never get any.
-      take(left, job.need, job.gang ? job.waiting : count);
-      take(safe, job.need, count);
+      if (job.isOverdue !== true || pools.some((pool) => allowed(job, pool))) {
+        // A gang that the limit has no room for yet holds back what ranks lower: one by one it would never get any.
+        take(left, job.need, job.gang ? job.waiting : count);
+        take(safe, job.need, count);
+      }
       if (guaranteed > 0) {
         segments.push({ job, priority: rank(job) + guaranteeWeight * top, count: guaranteed });
       }
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -25,6 +25,8 @@
   taskCount: number;
   /** All that waits is placed in one round, or nothing is. */
   gang: boolean;
+  /** It has waited for longer than a machine takes to come up. */
+  isOverdue?: boolean;
   machineTypes: readonly string[] | null;
   zone: string | null;
   singleZone: boolean;
