Duties are handed over, shown and asked for: operators' listener, command line, hard cases in tests

Change: the lead is resigned by its holder, a share by a note in the member record under an announced capability (`handover`), dealt by the leader under a higher token. A listener for operators (koa, JSON), off unless their XML names an address; `micaworks run | check | submit | show | withdraw | duties | duties resign` (commander).

--- /dev/null
+++ b/packages/cli/duties.ts
@@ -0,0 +1,63 @@
+/** `micaworks duties`: who holds what, as the nodes that answer know it. */
+import { type DutyReport, parseDutyName } from '#duties';
+import { askDuties, askToResign, type NodeAnswer, type NodeDutyReport } from '#operations';
+import { checkAddress } from './address.js';
+import { failure, usageError } from './errors.js';
+import { formatTable, type Print, printJson } from './output.js';
+
+export interface DutiesOptions {
+  node: string[];
+  json: boolean;
+}
+
+/** The stable form of `--json`. */
+interface DutiesJson {
+  nodes: (NodeDutyReport & { node: string })[];
+  silent: { node: string; reason: string }[];
+}
+
+const HEADING = ['NODE', 'DUTY', 'STATE', 'HOLDER', 'TERM', 'SINCE', 'LEASE', 'OPEN', 'LAST REFUSED'];
+
+export async function showDuties({ node, json }: DutiesOptions, print: Print): Promise<void> {
+  const answers = await askDuties(node.map(checkAddress));
+  const answered = answers.flatMap((a) => (a.kind === 'answered' ? [{ node: a.node, ...a.value }] : []));
+  const silent = answers.flatMap((a) => (a.kind === 'silent' ? [{ node: a.node, reason: a.reason }] : []));
+  if (json) printJson(print, { nodes: answered, silent } satisfies DutiesJson);
+  else printTable(answered, silent, print);
+  if (answered.length === 0) throw failure('no node answered; is operations/listen set in their XML?');
+}
+
+export async function resignDuty(name: string, node: string, print: Print): Promise<void> {
+  const address = checkAddress(node);
+  if (parseDutyName(name) === null) throw usageError(`${name}: no such duty; write lead or share/N`);
+  const answer: NodeAnswer<unknown> = await askToResign(address, name);
+  if (answer.kind === 'silent') throw failure(`${node}: ${answer.reason}`);
+  const result = answer.value as { kind: string; reason?: string };
+  if (result.kind !== 'handed_over') throw failure(`${name} was not handed over: ${result.reason ?? '?'}`);
+  print(`${name} was handed over`);
+}
+
+function printTable(nodes: DutiesJson['nodes'], silent: DutiesJson['silent'], print: Print): void {
+  const rows = nodes.flatMap((report) => report.duties.map((duty) => rowOf(report.member, duty)));
+  for (const line of formatTable([HEADING, ...rows])) print(line);
+  for (const { member, knowledgeAgeS, membership } of nodes) {
+    const age = knowledgeAgeS === null ? 'never complete' : `${knowledgeAgeS} s old`;
+    print(`${member}: ${membership}; what it knows is ${age}`);
+  }
+  for (const { node, reason } of silent) print(`${node}: no answer (${reason})`);
+}
+
+function rowOf(member: string, duty: DutyReport): string[] {
+  const { openIntents, lastRefused } = duty;
+  const open = openIntents
+    ? `${openIntents.rentals.length} rentals, ${openIntents.returns.length} returns`
+    : '-';
+  const refused = lastRefused
+    ? `${lastRefused.action}: ${lastRefused.reason} (term ${lastRefused.term}, ${lastRefused.ageS} s ago)`
+    : '-';
+  const lease = duty.leaseLeftS === null ? '-' : `${duty.leaseLeftS} s`;
+  return [
+    ...[member, duty.duty, duty.state, duty.holder ?? '-', String(duty.term ?? '-')],
+    ...[`${duty.sinceS} s`, lease, open, refused],
+  ];
+}
--- /dev/null
+++ b/packages/cli/index.ts
@@ -0,0 +1,2 @@
+export * from './errors.js';
+export * from './program.js';
--- /dev/null
+++ b/packages/cli/program.ts
@@ -0,0 +1,115 @@
+/** The command line: its subcommands and their options. */
+import { readFileSync } from 'node:fs';
+import { Command, CommanderError } from 'commander';
+import { loadSettings, loadTuning, SettingsError, standardTuning } from '#settings';
+import { type DutiesOptions, resignDuty, showDuties } from './duties.js';
+import { CommandError, USAGE_EXIT } from './errors.js';
+import { showJob, submitJob, withdrawJob } from './jobs.js';
+import type { Print } from './output.js';
+import { checkSettings, type SettingsFiles } from './settings.js';
+
+const PACKAGE = new URL('../../package.json', import.meta.url);
+const DEFAULT_OPERATOR_NODE = '127.0.0.1:7070';
+const DEFAULT_USER_NODE = '127.0.0.1:8080';
+const NODE_OPTION = '--node <address>';
+
+function version(): string {
+  return String((JSON.parse(readFileSync(PACKAGE, 'utf8')) as { version: unknown }).version);
+}
+
+/** Starts the daemon in this process, as `deploy/service.toml` does. */
+async function run({ config, operator }: { config: string; operator?: string }): Promise<void> {
+  // Only this command pays for loading the daemon.
+  const { runNode } = await import('#daemon/run-node');
+  const tuning = operator === undefined ? standardTuning() : await loadTuning(operator);
+  await runNode(loadSettings(config), tuning);
+}
+
+export function createProgram(print: Print): Command {
+  const program = new Command('micaworks')
+    .description('A cluster scheduler, and the tools to operate it')
+    .version(version())
+    .exitOverride()
+    .enablePositionalOptions()
+    .configureOutput({
+      outputError: () => undefined,
+      writeOut: (text) => {
+        print(text.trimEnd());
+      },
+      writeErr: () => undefined,
+    })
+    .showSuggestionAfterError();
+  program
+    .command('run')
+    .description('run a node of the service until it is killed')
+    .requiredOption('--config <file>', "the platform's settings (TOML)")
+    .option('--operator <file>', "operators' settings (XML)")
+    .action(run);
+  program
+    .command('check')
+    .description('check settings files without starting anything')
+    .option('--config <file>', "the platform's settings (TOML)")
+    .option('--operator <file>', "operators' settings (XML)")
+    .action((files: SettingsFiles) => checkSettings(files, print));
+  addJobCommands(program, print);
+  addDutyCommands(program, print);
+  return program;
+}
+
+function addJobCommands(program: Command, print: Print): void {
+  const nodeHelp = 'address at which a node serves users';
+  program
+    .command('submit <file>')
+    .description('submit the job that a JSON file describes; - reads standard input')
+    .option(NODE_OPTION, nodeHelp, DEFAULT_USER_NODE)
+    .action((file: string, { node }: { node: string }) => submitJob(file, node, print));
+  program
+    .command('show <job>')
+    .description("tell a job's state")
+    .option(NODE_OPTION, nodeHelp, DEFAULT_USER_NODE)
+    .action((job: string, { node }: { node: string }) => showJob(job, node, print));
+  program
+    .command('withdraw <job>')
+    .description('cancel a job')
+    .option(NODE_OPTION, nodeHelp, DEFAULT_USER_NODE)
+    .action((job: string, { node }: { node: string }) => withdrawJob(job, node, print));
+}
+
+function addDutyCommands(program: Command, print: Print): void {
+  const duties = program
+    .command('duties')
+    .enablePositionalOptions()
+    .description('show who holds each duty that one controller may hold at a time')
+    .option('--node <address...>', "operators' listener of one or more nodes", [DEFAULT_OPERATOR_NODE])
+    .option('--json', 'print JSON', false)
+    .action((options: DutiesOptions) => showDuties(options, print));
+  duties
+    .command('resign <duty>')
+    .description('have the node that holds a duty (lead or share/N) hand it over')
+    .requiredOption(NODE_OPTION, "operators' listener of the node that holds it")
+    .action((duty: string, { node }: { node: string }) => resignDuty(duty, node, print));
+}
+
+/** Runs one command; the exit code. Errors go out as one line. */
+export async function execute(args: readonly string[], print: Print, complain: Print): Promise<number> {
+  try {
+    await createProgram(print).parseAsync([...args], { from: 'user' });
+    return 0;
+  } catch (cause) {
+    if (cause instanceof CommanderError) return endOfParsing(cause, complain);
+    if (cause instanceof CommandError) {
+      complain(`micaworks: ${cause.message}`);
+      return cause.exitCode;
+    }
+    complain(`micaworks: ${cause instanceof Error ? cause.message : String(cause)}`);
+    return cause instanceof SettingsError ? USAGE_EXIT : 1;
+  }
+}
+
+/** Help and version end the parsing, too, and are no errors. */
+function endOfParsing({ exitCode, code, message }: CommanderError, complain: Print): number {
+  if (exitCode === 0) return 0;
+  const text = code === 'commander.help' ? 'name a command' : message.replace(/^error: /, '');
+  complain(`micaworks: ${text.split('\n').join(' ')}; micaworks --help lists what there is`);
+  return USAGE_EXIT;
+}
--- a/packages/cluster/capabilities.ts
+++ b/packages/cluster/capabilities.ts
@@ -5,11 +5,14 @@
  */
 import type { Fields } from '#wire';
 
-/** `gangs`: jobs whose tasks start together, their starts in the logs and in checkpoints. */
-export type Capability = 'gangs';
+/**
+ * `gangs`: jobs whose tasks start together, their starts in the logs and in checkpoints. `handover`: the shares that a
+ * member gives up, in its record; the leader deals them to others.
+ */
+export type Capability = 'gangs' | 'handover';
 
 /** What this version announces. */
-export const OWN_CAPABILITIES: readonly Capability[] = ['gangs'];
+export const OWN_CAPABILITIES: readonly Capability[] = ['gangs', 'handover'];
 
 /** A node's announcement, as it lies in its member record and, beyond its process's end, under a key of its own. */
 export function encodeCapabilities(): Fields {
--- a/packages/cluster/membership.ts
+++ b/packages/cluster/membership.ts
@@ -16,6 +16,12 @@
   workersUnreachable: boolean;
 }
 
+/** What a node tells the others in its member record. */
+export interface MemberNotes extends MemberContacts {
+  /** Shares that it gives up on purpose. */
+  resigned: number[];
+}
+
 /** How long a member outlives its last sign of life. */
 const LIFE: Micros = 3 * SECOND;
 const RENEW: Micros = 800 * MS;
@@ -36,7 +42,7 @@
   private campaigning = false;
   /** Until then another member is to have the lead. */
   private abstainsUntil: Micros = -Infinity;
-  private contacts: MemberContacts = { unreachable: [], workersUnreachable: false };
+  private notes: MemberNotes = { unreachable: [], workersUnreachable: false, resigned: [] };
   private telling = false;
 
   constructor(
@@ -75,20 +81,15 @@
     return new Map([...this.replica.owners].filter(([, owner]) => this.isOurs(owner.nonce)));
   }
 
-  /** Tells the others whom this node can't reach, if its record doesn't say so yet. */
-  async tellContacts(change: Partial<MemberContacts>): Promise<void> {
-    this.contacts = { ...this.contacts, ...change };
+  /** Tells the others what changed of this node, if its record doesn't say so yet. */
+  async tell(change: Partial<MemberNotes>): Promise<void> {
+    this.notes = { ...this.notes, ...change };
     const memberRecord = this.replica.members.get(this.member);
     // Compared with the record as it stands: a commit that failed is made good the next time.
     if (this.telling || !this.standing || !memberRecord || !this.isOurs(memberRecord.nonce)) return;
-    const { unreachable, workersUnreachable } = this.contacts;
-    if (
-      memberRecord.unreachable.join() === unreachable.join() &&
-      memberRecord.workersUnreachable === workersUnreachable
-    )
-      return;
+    if (isSameNotes(memberRecord, this.notes)) return;
     this.telling = true;
-    this.log.info(this.contacts, 'out of reach');
+    this.log.info(this.notes, 'member record changes');
     const { leaseId } = this.standing;
     const result = await this.store.commit(
       [{ path: memberKey(this.member), revision: memberRecord.revision }],
@@ -103,6 +104,11 @@
     this.abstainsUntil = this.clock.now() + duration;
   }
 
+  /** The shares that this node is giving up. */
+  get resignedShares(): readonly number[] {
+    return this.notes.resigned;
+  }
+
   stop(): void {
     this.enter('stopped');
   }
@@ -129,10 +135,12 @@
   }
 
   private memberRecord(standing: { nonce: string; leaseId: Count }): Record<string, unknown> {
-    const { unreachable, workersUnreachable } = this.contacts;
+    const { unreachable, workersUnreachable, resigned } = this.notes;
     return {
       ...{ Nonce: standing.nonce, Zone: this.zone, Permit: standing.leaseId },
       ...{ Unreachable: unreachable, WorkersUnreachable: workersUnreachable },
+      // Only once all nodes have announced to know it, and left out where there is nothing to say.
+      ...(resigned.length > 0 ? { Resigned: resigned } : {}),
       ...encodeCapabilities(),
     };
   }
@@ -239,6 +247,14 @@
   }
 }
 
+function isSameNotes(a: MemberNotes, b: MemberNotes): boolean {
+  return (
+    a.unreachable.join() === b.unreachable.join() &&
+    a.workersUnreachable === b.workersUnreachable &&
+    a.resigned.join() === b.resigned.join()
+  );
+}
+
 /** Who holds which duty, as this copy of the state says. */
 function holdersIn({ lead, owners }: Replica): Map<DutyName, DutyHolder> {
   const holders = new Map<DutyName, DutyHolder>();
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -23,7 +23,7 @@
 } from './keys.js';
 import { allSupport, type Capability, decodeCapabilities } from './capabilities.js';
 import type { CheckpointRow } from './checkpoint.js';
-import type { MemberContacts } from './membership.js';
+import type { MemberNotes } from './membership.js';
 import { Ledger, type PlacementRecord, type Positions } from './ledger.js';
 import { type Change, Meter, Pace, type Row, type StoreClient, StoreError } from '#store';
 import {
@@ -58,7 +58,7 @@
   token: number;
 }
 
-export interface Member extends MemberContacts {
+export interface Member extends MemberNotes {
   member: string;
   nonce: string;
   zone: string;
@@ -471,6 +471,7 @@
     capabilities: decodeCapabilities(value),
     unreachable: Array.isArray(unreachable) ? unreachable.map(String) : [],
     workersUnreachable: value['WorkersUnreachable'] === true,
+    resigned: Array.isArray(value['Resigned']) ? value['Resigned'].map(Number) : [],
     revision,
   };
 }
--- a/packages/cluster/share-assignment.ts
+++ b/packages/cluster/share-assignment.ts
@@ -9,6 +9,8 @@
   member: string;
   nonce: string;
   zone: string;
+  /** Shares that it gives up: they go to others. */
+  resigned?: readonly number[];
 }
 
 export interface Assignment {
@@ -58,27 +60,40 @@
   const orphans: number[] = [];
   for (let share = 0; share < count; share++) {
     const owner = owners.get(share);
-    const alive = members.some((m) => m.member === owner?.member && m.nonce === owner.nonce);
+    const alive = members.some(
+      (m) => m.member === owner?.member && m.nonce === owner.nonce && !hasResigned(m, share),
+    );
     if (owner && alive) has.get(owner.member)?.push(share);
     else orphans.push(share);
   }
   const lack = (member: string): number => (want.get(member) ?? 0) - (has.get(member)?.length ?? 0);
-  const neediest = (): string =>
-    [...has.keys()].sort((a, b) => lack(b) - lack(a) || (a < b ? -1 : 1))[0] as string;
+  const neediest = (candidates: readonly string[]): string | undefined =>
+    [...candidates].sort((a, b) => lack(b) - lack(a) || (a < b ? -1 : 1))[0];
+  /** Who may have it: all but those that give it up, unless that is everybody. */
+  const takers = (share: number): string[] => {
+    const names = members.filter((m) => !hasResigned(m, share)).map((m) => m.member);
+    return names.length > 0 ? names : [...has.keys()];
+  };
   const plan: Assignment[] = [];
   for (const share of orphans) {
-    const member = neediest();
+    const member = neediest(takers(share));
+    if (member === undefined) continue;
     has.get(member)?.push(share);
     plan.push({ share, member });
   }
   if (plan.length > 0) return plan;
-  const poor = neediest();
+  const poor = neediest([...has.keys()]);
   const rich = [...has.keys()].sort((a, b) => lack(a) - lack(b) || (a < b ? -1 : 1))[0] as string;
   const share = has.get(rich)?.at(-1);
-  if (lack(poor) >= 1 && lack(rich) <= -1 && share !== undefined) plan.push({ share, member: poor });
+  if (poor === undefined || share === undefined || !takers(share).includes(poor)) return plan;
+  if (lack(poor) >= 1 && lack(rich) <= -1) plan.push({ share, member: poor });
   return plan;
 }
 
+function hasResigned({ resigned = [] }: AssignableMember, share: number): boolean {
+  return resigned.includes(share);
+}
+
 /** Pairs of zones that can't reach each other, as the members tell: `a|b` with a < b. */
 export function cutZones(
   members: readonly (AssignableMember & { unreachable: readonly string[] })[],
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -1,6 +1,6 @@
 import type { Answer } from '#api';
 import { CloudClient } from '#cloud';
-import { FencedCloud, FencedStore } from '#duties';
+import { type DutyName, FencedCloud, FencedStore, reportDuties } from '#duties';
 import {
   CONTACT_STEP,
   LOG_PLACES,
@@ -18,6 +18,7 @@
   type StateCopy,
   WorkerContact,
 } from '#cluster';
+import type { NodeDutyReport } from '#operations';
 import type { Settings, Tuning } from '#settings';
 import { Pace, StoreClient, WriteLimits } from '#store';
 import {
@@ -36,6 +37,7 @@
 import { Leader } from './leader.js';
 import { Forecaster } from './forecast.js';
 import { StateFreshness } from './freshness.js';
+import { HandOver, type HandOverResult } from './hand-over.js';
 import { Preemption } from './preemption.js';
 import { RoundInput } from './round-input.js';
 import { RunTimes } from './run-times.js';
@@ -89,6 +91,7 @@
   private readonly scheduler: Scheduler;
   private readonly runTimes: RunTimes;
   private readonly leader: Leader;
+  private readonly handOver: HandOver;
   private readonly peers: PeerWatch;
   private readonly contact: WorkerContact;
   private readonly freshness: StateFreshness;
@@ -158,6 +161,10 @@
         wake,
       },
     });
+    this.handOver = new HandOver({
+      ...{ clock, replica, membership, store: fencedStore, freshness: this.freshness },
+      allNodes: [member, ...settings.peers.map((peer) => peer.member)],
+    });
     this.peers = new PeerWatch(
       settings.peers,
       parts.ping,
@@ -165,7 +172,7 @@
       log,
       (unreachable) => {
         // A peer without a member key is dead, not out of reach.
-        void membership.tellContacts({
+        void membership.tell({
           unreachable: unreachable.filter((name) => replica.members.has(name)),
         });
       },
@@ -199,6 +206,23 @@
     return { member: this.parts.settings.member, state, applied, ledger };
   }
 
+  /** What this node knows of the cluster's duties, and how old that knowledge is. */
+  dutyReport(): NodeDutyReport {
+    const { replica, membership } = this;
+    const age = this.freshness.age();
+    return {
+      member: this.parts.settings.member,
+      membership: membership.state,
+      knowledgeAgeS: Number.isFinite(age) ? Math.round(age / (100 * MS)) / 10 : null,
+      duties: reportDuties(membership.duties, replica.ledger, this.clock.now()),
+    };
+  }
+
+  /** Hands a duty over on purpose. */
+  resign(duty: DutyName): Promise<HandOverResult> {
+    return this.handOver.resign(duty);
+  }
+
   /** The term under which this node believes to lead; null if it doesn't. */
   leadTerm(): number | null {
     return this.membership.duties.prove('lead')?.term ?? null;
@@ -478,7 +502,7 @@
     while (!this.stopped()) {
       await sleep(this.clock, CONTACT_STEP);
       this.contact.step(this.ownShares().size > 0, this.clock.now());
-      void this.membership.tellContacts({ workersUnreachable: this.contact.state === 'unreachable' });
+      void this.membership.tell({ workersUnreachable: this.contact.state === 'unreachable' });
     }
   }
 
--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -157,7 +157,8 @@
     const plan = planShares(settings.initialSize, replica.owners, members, this.weights());
     const orphaned = plan.some(({ share }) => {
       const owner = replica.owners.get(share);
-      return !owner || !members.some((m) => m.member === owner.member && m.nonce === owner.nonce);
+      const holder = members.find((m) => m.member === owner?.member && m.nonce === owner.nonce);
+      return !holder || holder.resigned.includes(share);
     });
     if (plan.length === 0 || (!orphaned && clock.now() - this.lastShares < REBALANCE)) return;
     this.assigning = true;
--- /dev/null
+++ b/packages/daemon/run-node.ts
@@ -0,0 +1,98 @@
+/** One node as a process: its clock, its sockets and its log. */
+import { hrtime } from 'node:process';
+import { randomBytes } from 'node:crypto';
+import { createApp, listen } from '#api';
+import type { Settings, Tuning } from '#settings';
+import { type Clock, httpCaller } from '#wire';
+import { pino, destination } from 'pino';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { createOperatorApp, listenForOperators, OPERATOR_SOCKETS } from '#operations';
+import { Controller } from './controller.js';
+import { pingOver, servePings } from './links.js';
+
+function steadyClock(): Clock {
+  return {
+    now: () => Math.floor(Number(hrtime.bigint() / 1000n)),
+    wall: () => Date.now() * 1000,
+    after: (delay, action) => {
+      const timer = setTimeout(action, Math.max(0, delay / 1000));
+      return {
+        cancel: () => {
+          clearTimeout(timer);
+        },
+      };
+    },
+  };
+}
+
+function uniform(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 4294967296;
+}
+
+/** Connections to the state service, and as many to the cloud, at the most. */
+function callers({ sockets }: Settings): number {
+  return Math.max(8, Math.min(64, Math.floor(sockets / 16)));
+}
+
+/** What workers and users must leave of the machine's connections: for both services, peers, operators, some spare. */
+function reserve(settings: Settings, tuning: Tuning): number {
+  const operators = tuning.operatorListen === null ? 0 : OPERATOR_SOCKETS;
+  return 2 * callers(settings) + 4 * settings.peers.length + 32 + operators;
+}
+
+async function serveOperators(
+  controller: Controller,
+  address: string,
+  report: (cause: unknown) => void,
+): Promise<void> {
+  const app = createOperatorApp(
+    {
+      dutyReport: () => controller.dutyReport(),
+      resign: (duty) => controller.resign(duty),
+    },
+    report,
+  );
+  await listenForOperators(app, address);
+}
+
+/** Starts a node on these settings; resolves once it listens. */
+export async function runNode(settings: Settings, tuning: Tuning): Promise<void> {
+  const level = process.env['LOG_LEVEL'] ?? 'info';
+  const log = pino(
+    { level: ['error', 'info', 'debug'].includes(level) ? level : 'info', base: { member: settings.member } },
+    destination({ dest: 2, sync: true }),
+  );
+  const incarnation = randomBytes(6).toString('hex');
+  const controller: Controller = new Controller({
+    settings,
+    tuning,
+    clock: steadyClock(),
+    random: uniform(randomBytes(4).readInt32LE()),
+    incarnation,
+    call: httpCaller(callers(settings)),
+    ping: pingOver(settings.member, () => controller.word()),
+    log,
+  });
+  const report = (cause: unknown): void => {
+    log.error({ cause: cause instanceof Error ? cause.stack : String(cause) }, 'unexpected');
+  };
+  // A fault in one exchange must not end the node: everything it holds can be read again.
+  process.on('uncaughtException', report);
+  process.on('unhandledRejection', report);
+  await servePings(settings.clusterListen, () => controller.word());
+  controller.start();
+  const app = createApp(
+    {
+      submit: (body) => controller.users.submit(body),
+      show: (id) => controller.users.show(id),
+      cancel: (id) => controller.users.cancel(id),
+      report: (body) => controller.report(body),
+      health: () => controller.health(),
+    },
+    report,
+  );
+  if (tuning.operatorListen !== null) await serveOperators(controller, tuning.operatorListen, report);
+  await listen(app, settings.bind, Math.max(16, settings.sockets - reserve(settings, tuning)));
+  log.info({ bind: settings.bind, incarnation }, 'listening');
+}
--- /dev/null
+++ b/packages/operations/index.ts
@@ -0,0 +1,3 @@
+export * from './client.js';
+export * from './listener.js';
+export * from './messages.js';
--- /dev/null
+++ b/packages/operations/messages.ts
@@ -0,0 +1,24 @@
+/** What the operators' listener and its clients exchange, as JSON. */
+import type { DutyName, DutyReport } from '#duties';
+
+/** A node's view of the duties; it counts as proof for nothing. */
+export interface NodeDutyReport {
+  member: string;
+  /** `outside`, `joining`, `member` or `stopped`. */
+  membership: string;
+  /** Seconds since the node's copy of the state was last known to be complete; null if it never was. */
+  knowledgeAgeS: number | null;
+  duties: DutyReport[];
+}
+
+export type ResignResult = { kind: 'handed_over' } | { kind: 'refused'; reason: string };
+
+export interface OperatorError {
+  error: string;
+}
+
+/** What the listener needs of its node. */
+export interface OperatedNode {
+  dutyReport(): NodeDutyReport;
+  resign(duty: DutyName): Promise<ResignResult>;
+}
--- a/packages/settings/operator.ts
+++ b/packages/settings/operator.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { isIPv4 } from 'node:net';
 import { fromSeconds, type Micros } from '#wire';
 import { SettingsError } from './error.js';
 
@@ -16,6 +17,8 @@
   /** Waiting this long doubles a job's priority. */
   waitDoubles: Micros;
   choices: number;
+  /** Where the operators' listener is to be had; null: nowhere. */
+  operatorListen: string | null;
 }
 
 interface Knob {
@@ -42,7 +45,7 @@
 ];
 
 export function standardTuning(): Tuning {
-  const tuning = {} as Tuning;
+  const tuning = { operatorListen: null } as Tuning;
   for (const k of KNOBS) k.set(tuning, k.standard);
   return tuning;
 }
@@ -68,9 +71,29 @@
     }
     k.set(tuning, value);
   }
+  tuning.operatorListen = listenAddress(root);
   return tuning;
 }
 
+const LISTEN_PATH = 'operations/listen';
+const PORT_MOST = 65_535;
+
+/** The address of the operators' listener, if the file names one. */
+function listenAddress(root: unknown): string | null {
+  const operations = (root as Record<string, unknown>)['operations'];
+  if (operations === undefined || operations === '') return null;
+  const address = (operations as Record<string, unknown>)['listen'];
+  if (address === undefined) return null;
+  const match =
+    typeof address === 'string' ? /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(address.trim()) : null;
+  const [, ip = '', port = ''] = match ?? [];
+  const isAddress = isIPv4(ip) && Number(port) >= 1 && Number(port) <= PORT_MOST;
+  if (isAddress) return `${ip}:${Number(port)}`;
+  throw new SettingsError(
+    `operators' file: ${LISTEN_PATH}: must be an IPv4 address and a port, such as 127.0.0.1:7070`,
+  );
+}
+
 export async function loadTuning(file: string): Promise<Tuning> {
   let xml: string;
   try {
--- a/packages/testkit/sim-net.ts
+++ b/packages/testkit/sim-net.ts
@@ -41,7 +41,7 @@
   private readonly isolated = new Map<string, 'hold' | 'reset'>();
   /** Parties whose requests arrive while no answer comes back. */
   readonly mute = new Set<string>();
-  /** Parties whose requests are held on the way, and what is held. */
+  /** Links (`from>endpoint`, or `from>` for all) whose requests are held on the way, and what is held. */
   private readonly held = new Map<string, (() => void)[]>();
   /** Connections that are refused: `from>endpoint`. */
   readonly refused = new Set<string>();
@@ -75,15 +75,20 @@
     else this.isolated.set(zone, mode);
   }
 
-  /** Holds what this party sends until {@link release}: its sender has mostly given up by then. */
-  hold(from: string): void {
-    if (!this.held.has(from)) this.held.set(from, []);
+  /**
+   * Holds what this party sends, to all or to one endpoint, until {@link release}: its sender has mostly given up by
+   * then. So it looks, too, if a process stands still between deciding and sending.
+   */
+  hold(from: string, endpoint = ''): void {
+    const link = `${from}>${endpoint}`;
+    if (!this.held.has(link)) this.held.set(link, []);
   }
 
   /** Delivers what was held, in order; returns how many requests that were. */
-  release(from: string): number {
-    const requests = this.held.get(from) ?? [];
-    this.held.delete(from);
+  release(from: string, endpoint = ''): number {
+    const link = `${from}>${endpoint}`;
+    const requests = this.held.get(link) ?? [];
+    this.held.delete(link);
     for (const deliver of requests) deliver();
     return requests.length;
   }
@@ -125,7 +130,7 @@
     body: unknown,
     answer: (served: Served | null) => void,
   ): void {
-    const queue = this.held.get(from);
+    const queue = this.held.get(`${from}>`) ?? this.held.get(`${from}>${endpoint}`);
     if (queue) {
       queue.push(() => {
         this.carry(from, place, endpoint, method, path, body, answer);
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -27,8 +27,8 @@
 import { SimWorker } from './sim-worker.js';
 
 const ZONES = ['east', 'west'];
-const STATE = '10.2.0.1:2379';
-const CLOUD = '10.2.0.2:8443';
+export const STATE = '10.2.0.1:2379';
+export const CLOUD = '10.2.0.2:8443';
 
 /** A small deployment for tests; every number differs from any real one on purpose. */
 export function sampleSettings(index: number, count: number, change: Partial<Settings> = {}): Settings {
@@ -95,6 +95,12 @@
 /** A withdrawal was confirmed, a job's last task ended, the lead changed, an owner let a machine go. */
 export type WorldEvent = 'confirmed' | 'last end' | 'lead' | 'release';
 
+/** By what part the steady clock runs fast, and how far the time of day is off. */
+export interface ClockError {
+  drift: number;
+  wallOff: Micros;
+}
+
 export interface WorldOptions {
   seed: number;
   nodes?: number;
@@ -108,6 +114,8 @@
   pageRows?: number;
   /** Runs nodes of the version in production until they are upgraded, with these settings beside the sample's. */
   production?: { version: ProductionVersion; settings?: Partial<Settings> };
+  /** How far a node's clocks are off, where that is to be more than the protocol allows. */
+  clockError?: (index: number) => ClockError;
   /** `cancel_s` as users were promised it, where the controllers are to be told another. */
   promisedCancel?: Micros;
 }
@@ -216,6 +224,12 @@
     return this.renewals.get(index) ?? 0;
   }
 
+  /** A node of the present version that is up; null while it is down or of the version in production. */
+  controller(index: number): Controller | null {
+    const node = this.nodes[index];
+    return node && !node.isOld ? node.controller : null;
+  }
+
   /** What this node answers health checks with; null while it is down. */
   health(index: number): number | null {
     return this.nodes[index]?.controller?.health().status ?? null;
@@ -237,8 +251,11 @@
     const gate = this.gateOf(life);
     const settings = this.settingsOf(index);
     const old = node.isOld ? this.options.production : undefined;
-    const drift = (this.random() - 0.5) * 0.001;
-    const wallOff = Math.floor((this.random() - 0.5) * 100 * MS);
+    const allowed = {
+      drift: (this.random() - 0.5) * 0.001,
+      wallOff: Math.floor((this.random() - 0.5) * 100 * MS),
+    };
+    const { drift, wallOff } = this.options.clockError?.(index) ?? allowed;
     const Version = old ? old.version.Controller : Controller;
     const controller = new Version({
       settings: old ? { ...settings, ...old.settings } : settings,
