What the cloud's list proves, and rows of duties, in modules of their own; an unreadable token closes the gate

Need: the fleet manager and the replica had grown; a row of the token that can't be read gave answers without a token. Change: fleet/machine-list.ts and cluster/rows.ts; while the token can't be read no worker is answered and no share is dealt.

--- a/packages/cluster/index.ts
+++ b/packages/cluster/index.ts
@@ -7,6 +7,7 @@
 export * from './ledger.js';
 export * from './logger.js';
 export * from './replica.js';
+export * from './rows.js';
 export * from './writer.js';
 export * from './peers.js';
 export * from './share-assignment.js';
--- a/packages/cluster/membership.ts
+++ b/packages/cluster/membership.ts
@@ -1,7 +1,8 @@
 import { encodeCapabilities, OWN_CAPABILITIES } from './capabilities.js';
 import { capabilityKey, LEAD, memberKey, ownershipKey } from './keys.js';
 import type { Logger } from './logger.js';
-import type { Lead, Replica, ShareOwner } from './replica.js';
+import type { Replica } from './replica.js';
+import type { Lead, ShareOwner } from './rows.js';
 import { type DutyHolder, type DutyName, DutyRegistry } from '#duties';
 import { type StoreClient, StoreError } from '#store';
 import { type Clock, type Count, type Micros, MS, SECOND, sleep } from '#wire';
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -23,12 +23,23 @@
 } from './keys.js';
 import { allSupport, type Capability, decodeCapabilities } from './capabilities.js';
 import type { CheckpointRow } from './checkpoint.js';
-import type { MemberNotes } from './membership.js';
+import {
+  decodeFinal,
+  decodeHolder,
+  decodeMember,
+  decodeOwner,
+  decodeToken,
+  type Final,
+  isReadable,
+  type Lead,
+  type Member,
+  type ShareOwner,
+  UNREADABLE_TOKEN,
+} from './rows.js';
 import { Ledger, type PlacementRecord, type Positions } from './ledger.js';
 import { type Change, Meter, Pace, type Row, type StoreClient, StoreError } from '#store';
 import {
   type Clock,
-  type Count,
   type Fields,
   type MachineType,
   type Micros,
@@ -46,28 +57,6 @@
   revision: number;
 }
 
-/** Who holds the lead. */
-export interface Lead {
-  member: string;
-  nonce: string;
-  revision: number;
-}
-
-/** Who owns a share, and the token that was raised for it. */
-export interface ShareOwner extends Lead {
-  token: number;
-}
-
-export interface Member extends MemberNotes {
-  member: string;
-  nonce: string;
-  zone: string;
-  leaseId: Count;
-  /** What its process announces to understand; nothing in the records of older versions. */
-  capabilities: ReadonlySet<string>;
-  revision: number;
-}
-
 /**
  * `loading`: reads all live state, page by page. `catching_up`: applies what was committed while it read.
  * `following`: complete up to the epoch in `applied`, and kept so by the watch.
@@ -83,8 +72,6 @@
   ledger: Ledger;
 }
 
-export type Final = 'done' | 'cancelled';
-
 const BLOCK: Micros = 10 * SECOND;
 /** Least time between two reads of the epoch: polls in between wait for the same one. */
 const BARRIER_GAP: Micros = 60 * MS;
@@ -92,8 +79,6 @@
 const FOLLOW_PART = 0.3;
 const BARRIER_PART = 0.25;
 const RECENT_FINALS = 2000;
-/** Stands for a holder whose row can't be read; no member has this name, no process this nonce. */
-const UNREADABLE = '';
 const NO_CHECKPOINT = { id: '', positions: {}, chunks: 0, revision: 0 };
 
 /**
@@ -382,14 +367,16 @@
     if (path === LEAD) {
       this.lead = value ? this.readHolder(path, value, revision) : null;
     } else if (path === TOKEN_KEY) {
-      this.token = { value: Number(value?.['Token'] ?? 0), revision };
+      const token = decodeToken(value);
+      if (token === null) this.noteUnreadable(path, revision);
+      this.token = { value: token ?? UNREADABLE_TOKEN, revision };
     } else if (path.startsWith(SHARES)) {
       const share = Number(path.slice(SHARES.length));
       if (value) this.owners.set(share, this.readOwner(path, value, revision));
       else this.owners.delete(share);
     } else if (path.startsWith(MEMBERS)) {
       const member = path.slice(MEMBERS.length);
-      if (value) this.members.set(member, memberOf(member, value, revision));
+      if (value) this.members.set(member, decodeMember(member, value, revision));
       else this.members.delete(member);
     } else if (path.startsWith(CAPABILITIES)) {
       this.capabilities.set(path.slice(CAPABILITIES.length), decodeCapabilities(value));
@@ -434,30 +421,28 @@
     }
     this.jobs.delete(id);
     this.ledger.drop(id);
-    if (value) this.ended.set(id, { status: finalOf(value), revision });
+    if (value) this.ended.set(id, { status: decodeFinal(value), revision });
   }
 
-  /**
-   * Who holds a duty. A row that can't be read closes it: nobody is taken for its holder, and nobody may take it as if
-   * it were vacant, until the row is written anew or its grant ends.
-   */
+  /** Who holds a duty; a row that can't be read closes it, and is named. */
   private readHolder(path: string, value: Fields, revision: number): Lead {
-    const { Member: member, Nonce: nonce } = value;
-    const isReadable =
-      typeof member === 'string' && typeof nonce === 'string' && member !== '' && nonce !== '';
-    if (isReadable) return { member, nonce, revision };
-    this.log.error({ path, revision }, 'the row of a duty can not be read: the duty is closed');
-    return { member: UNREADABLE, nonce: UNREADABLE, revision };
+    const holder = decodeHolder(value, revision);
+    if (!isReadable(holder)) this.noteUnreadable(path, revision);
+    return holder;
   }
 
   private readOwner(path: string, value: Fields, revision: number): ShareOwner {
-    const token = Number(value['Token']);
-    if (Number.isSafeInteger(token)) return { ...this.readHolder(path, value, revision), token };
-    return { ...this.readHolder(path, {}, revision), token: 0 };
+    const owner = decodeOwner(value, revision);
+    if (!isReadable(owner)) this.noteUnreadable(path, revision);
+    return owner;
+  }
+
+  private noteUnreadable(path: string, revision: number): void {
+    this.log.error({ path, revision }, 'the row of a duty can not be read: the duty is closed');
   }
 
   private keepFinal(id: string, value: Fields): void {
-    this.finals.set(id, finalOf(value));
+    this.finals.set(id, decodeFinal(value));
     if (this.finals.size > RECENT_FINALS) {
       const oldest = this.finals.keys().next().value;
       if (oldest !== undefined) this.finals.delete(oldest);
@@ -473,22 +458,3 @@
 function inOrder(x: Change, y: Change): number {
   return x.revision - y.revision || Number(x.value?.['order'] ?? 0) - Number(y.value?.['order'] ?? 0);
 }
-
-function finalOf(value: Fields): Final {
-  return value['Status'] === 'done' ? 'done' : 'cancelled';
-}
-
-function memberOf(member: string, value: Fields, revision: number): Member {
-  const unreachable = value['Unreachable'];
-  return {
-    member,
-    nonce: String(value['Nonce']),
-    zone: String(value['Zone']),
-    leaseId: value['Permit'] as Count,
-    capabilities: decodeCapabilities(value),
-    unreachable: Array.isArray(unreachable) ? unreachable.map(String) : [],
-    workersUnreachable: value['WorkersUnreachable'] === true,
-    resigned: Array.isArray(value['Resigned']) ? value['Resigned'].map(Number) : [],
-    revision,
-  };
-}
--- a/packages/cluster/writer.ts
+++ b/packages/cluster/writer.ts
@@ -11,7 +11,8 @@
 import { type CheckpointRow, checkpointRows } from './checkpoint.js';
 import type { PlacementRecord, StartGroup } from './ledger.js';
 import type { Logger } from './logger.js';
-import type { Final, LiveJob, Replica } from './replica.js';
+import type { LiveJob, Replica } from './replica.js';
+import type { Final } from './rows.js';
 import type { DutyName, DutyRegistry, FencedStore, TermProof } from '#duties';
 import {
   type CommitResult,
--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -11,6 +11,7 @@
   type Replica,
   shareKey,
   TYPES,
+  UNREADABLE_TOKEN,
   zonePair,
 } from '#cluster';
 import type { FencedCloud, FencedStore, TermProof } from '#duties';
@@ -152,7 +153,7 @@
   /** Gives shares without a living owner a new one, and evens out what members own. */
   private async dealShares(proof: TermProof): Promise<void> {
     const { replica, store, settings, limits, log, clock } = this.parts;
-    if (this.assigning) return;
+    if (this.assigning || replica.token.value === UNREADABLE_TOKEN) return;
     const members = eligible([...replica.members.values()]);
     const plan = planShares(settings.initialSize, replica.owners, members, this.weights());
     const orphaned = plan.some(({ share }) => {
--- a/packages/fleet/fleet-manager.ts
+++ b/packages/fleet/fleet-manager.ts
@@ -1,15 +1,8 @@
 import type { Destination, MachineEntry, Ledger, Logger, RecordDraft } from '#cluster';
 import { MAX_DELETE, MAX_RENT } from '#cloud';
 import { type FencedCloud, RentalIntent, ReturnIntent, type TermProof } from '#duties';
-import {
-  type Clock,
-  fromSeconds,
-  type ListedMachine,
-  type MachineType,
-  type Micros,
-  MS,
-  SECOND,
-} from '#wire';
+import { type Clock, fromSeconds, type MachineType, type Micros, MS, SECOND } from '#wire';
+import { MachineList } from './machine-list.js';
 import {
   amountsOf,
   type Coming,
@@ -42,13 +35,10 @@
   reaches: (zone: string) => boolean;
 }
 
-const LIST_EVERY: Micros = 4 * SECOND;
 const HIRE_RETRY: Micros = 2 * SECOND;
 const HIRE_PATIENCE: Micros = 20 * SECOND;
 const REFUSAL: Micros = 10 * SECOND;
 const MOST_REFUSAL: Micros = 40 * SECOND;
-/** Beyond twice its nominal lag: how long a machine may be missing from the list before it counts as gone. */
-const LIST_PATIENCE: Micros = 8 * SECOND;
 const GONE_KEPT: Micros = 120 * SECOND;
 
 type Pending = Required<Pick<RecordDraft, 'machines' | 'removed' | 'rentals' | 'settledRentals' | 'moves'>>;
@@ -65,15 +55,7 @@
   private readonly refusals = new Map<string, { until: Micros; pause: Micros }>();
   private readonly gone = new Map<string, Micros>();
   private readonly idleSince = new Map<string, Micros>();
-  private listed: Map<string, ListedMachine> | null = null;
-  /** When that list was asked for. */
-  private listedAt: Micros = -Infinity;
-  /** Listed machines that stopped and are in no record. */
-  private readonly wrecks = new Map<string, ReturnIntent>();
-  /** Since when this holder has known each machine, by its own steady clock. */
-  private readonly knownSince = new Map<string, Micros>();
-  private lastList: Micros = -Infinity;
-  private listing = false;
+  private readonly list: MachineList;
   private deleting = false;
   private rentals = 0;
   private since: Micros = 0;
@@ -86,16 +68,16 @@
     private readonly facts: () => FleetFacts,
     private readonly log: Logger,
     private readonly wake: () => void,
-  ) {}
+  ) {
+    this.list = new MachineList(cloud, clock, () => facts().listLag);
+  }
 
   /** A new term starts from what the log says. */
   begin(proof: TermProof): void {
     this.proof = proof;
     this.pending = empty();
-    for (const map of [this.asking, this.refusals, this.gone, this.idleSince, this.knownSince]) map.clear();
-    this.wrecks.clear();
-    this.listed = null;
-    this.lastList = -Infinity;
+    for (const map of [this.asking, this.refusals, this.gone, this.idleSince]) map.clear();
+    this.list.begin();
     this.since = this.clock.now();
   }
 
@@ -147,10 +129,10 @@
     const { proof } = this;
     if (!proof) return;
     const { ledger } = this.facts();
-    this.noteMachines();
+    this.list.noteMachines(ledger);
     for (const share of shares) this.rent(share, proof);
     for (const rental of ledger.rentals.keys()) void this.ask(rental, proof);
-    void this.list(proof);
+    void this.adoptListed(proof);
     this.sendBack(shares.some((s) => s.needs.length > 0));
     this.giveUp();
     void this.deleteReturned(proof);
@@ -161,23 +143,6 @@
     return Math.max(0, this.clock.wall() - host.since * MS);
   }
 
-  /**
-   * How long this holder had known the machine for certain when it asked for the list it has: by its own steady clock
-   * alone, so that no disagreement of clocks makes a young machine look as if the list should show it. In an outage of
-   * the cloud the list gets old, and says nothing of machines that have come since.
-   */
-  private knownBeforeList(host: string): Micros {
-    return this.listedAt - (this.knownSince.get(host) ?? this.clock.now());
-  }
-
-  private noteMachines(): void {
-    const { ledger } = this.facts();
-    const now = this.clock.now();
-    for (const host of ledger.hosts.keys()) if (!this.knownSince.has(host)) this.knownSince.set(host, now);
-    if (this.knownSince.size === ledger.hosts.size) return;
-    for (const host of this.knownSince.keys()) if (!ledger.hosts.has(host)) this.knownSince.delete(host);
-  }
-
   private isBooting(host: MachineEntry): boolean {
     const boot = fromSeconds(this.facts().types.get(host.machineType)?.bootS ?? 60);
     return host.status === 'new' && this.age(host) <= boot * 2.2 + 5 * SECOND;
@@ -271,24 +236,16 @@
     return !this.pending.machines.some(([other]) => other === host);
   }
 
-  private async list(proof: TermProof): Promise<void> {
-    const now = this.clock.now();
-    if (this.listing || now - this.lastList < LIST_EVERY) return;
-    this.listing = true;
-    this.lastList = now;
-    const rows = await this.cloud.machines();
-    this.listing = false;
-    // One that was asked for under an earlier term may be older than what this term relies on.
-    if (!rows || !proof.isCurrent()) return;
-    this.listed = new Map(rows.map((r) => [r.host, r]));
-    this.listedAt = now;
-    const { ledger, shareFor } = this.facts();
-    for (const r of rows) {
-      const offer = { machineType: r.machineType, zone: r.zone, spot: r.spot };
-      const stopped = ledger.hosts.has(r.host) ? null : ReturnIntent.fromStoppedMachine(r);
-      if (stopped) this.wrecks.set(r.host, stopped);
-      else if (this.isUnknown(r.host)) this.adopt(r.host, offer, shareFor(r.zone), r.ageS);
+  /** Machines that the list shows and no record knows come into a share. */
+  private async adoptListed(proof: TermProof): Promise<void> {
+    const rows = await this.list.refresh(proof, this.facts().ledger);
+    if (!rows) return;
+    const { shareFor } = this.facts();
+    for (const { host, machineType, zone, spot, ageS } of rows) {
+      const isOpen = !this.list.stopped.has(host) && this.isUnknown(host);
+      if (isOpen) this.adopt(host, { machineType, zone, spot }, shareFor(zone), ageS);
     }
+    const now = this.clock.now();
     for (const [host, until] of this.gone) if (until < now) this.gone.delete(host);
   }
 
@@ -322,7 +279,7 @@
 
   private reasonToGiveUp(host: MachineEntry): string | null {
     if (host.status === 'lost') return 'lost';
-    const listing = this.listingOf(host);
+    const listing = this.list.verdict(host);
     if (listing !== null) return listing;
     const { lease, isCut } = this.facts();
     // A worker may have come up while its owner could not be reached: a new leader gives it time.
@@ -330,20 +287,11 @@
     return host.status === 'new' && !this.isBooting(host) && !patient ? 'late' : null;
   }
 
-  /** What the cloud's list says of a machine that is not up: it stopped, or is gone. */
-  private listingOf(host: MachineEntry): 'failed' | 'not listed' | null {
-    const row = this.listed?.get(host.host);
-    if (row?.state === 'failed') return 'failed';
-    if (host.status === 'up' || row || !this.listed) return null;
-    // The list lags by up to twice its nominal time; a machine that it should show by now is gone.
-    return this.knownBeforeList(host.host) > this.facts().listLag * 2 + LIST_PATIENCE ? 'not listed' : null;
-  }
-
   private returnIntents(): Map<string, ReturnIntent> {
-    const intents = new Map(this.wrecks);
+    const intents = new Map(this.list.stopped);
     for (const host of this.facts().ledger.hosts.values()) {
       if (this.pending.removed.includes(host.host)) continue;
-      const intent = ReturnIntent.fromRecord(host, this.listingOf(host));
+      const intent = ReturnIntent.fromRecord(host, this.list.verdict(host));
       if (intent) intents.set(host.host, intent);
     }
     return intents;
@@ -361,7 +309,7 @@
     this.log.info({ hosts: Object.fromEntries(reasons) }, 'machines returned');
     for (const { host } of intents) {
       this.gone.set(host, this.clock.now() + GONE_KEPT);
-      this.wrecks.delete(host);
+      this.list.stopped.delete(host);
       if (this.facts().ledger.hosts.has(host)) this.pending.removed.push(host);
     }
     this.wake();
--- a/packages/testkit/duty-hard-cases.test.ts
+++ b/packages/testkit/duty-hard-cases.test.ts
@@ -392,6 +392,26 @@
   await finish(world);
 });
 
+test('while the token can not be read no worker is answered and no share is dealt; all goes on once it can', async () => {
+  const world = busyWorld({ seed: 296 });
+  await world.run(30 * SECOND);
+  const row = world.store.rows.get('mw/now/token');
+  assert.ok(row);
+  world.store.spoil({ Set: 'mw/now/token', V: { Token: 'many' } });
+  await world.run(3 * SECOND);
+  const answered = (): number => [0, 1, 2].reduce((sum, i) => sum + world.workerReports(i), 0);
+  const before = answered();
+  world.killNode(leaderOf(world));
+  await world.run(8 * SECOND);
+  assert.equal(answered(), before, 'workers were answered under no token');
+  assert.deepEqual(world.store.rows.get('mw/now/token')?.value, { Token: 'many' });
+  world.store.spoil({ Set: 'mw/now/token', V: row.value });
+  for (let i = 0; i < world.nodeCount; i++) world.startNode(i);
+  await world.run(20 * SECOND);
+  assert.ok(answered() > before);
+  await finish(world);
+});
+
 test('controllers end in pairs in the middle of a hand-over and are back within a fraction of a second', async () => {
   for (const seed of [301, 302, 303, 304]) {
     const world = busyWorld({ seed });
--- /dev/null
+++ b/packages/testkit/loopback-main.ts
@@ -0,0 +1,19 @@
+/**
+ * A deployment on loopback to try the tools against, until it is interrupted:
+ *
+ *     node target/testkit/loopback-main.js
+ *
+ * It prints the address of each node's listener and the id of its process, to be frozen (`kill -STOP`) and thawed.
+ */
+import { LoopbackTrial } from './loopback-trial.js';
+
+const trial = new LoopbackTrial({ seed: 1, durationMs: 0 });
+await trial.start();
+for (const { addresses, processId } of trial.nodes) {
+  const { member, operators, users } = addresses;
+  process.stdout.write(`${member}: operators ${operators}, users ${users}, process ${processId}\n`);
+}
+process.once('SIGINT', () => {
+  trial.stop();
+  process.exit();
+});
--- a/packages/testkit/loopback-node.ts
+++ b/packages/testkit/loopback-node.ts
@@ -82,6 +82,10 @@
     return this.child !== null;
   }
 
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   start(): void {
     if (this.child) return;
     const env = { ...process.env, LOG_LEVEL: 'error' };
