--- a/packages/cli/cli.test.ts
+++ b/packages/cli/cli.test.ts
@@ -130,9 +130,11 @@
   const wrongXml = ['nowhere', '127.0.0.1', '127.0.0.1:0', '127.0.0.1:99999', '999.0.0.1:80', ''].map(
     (listen, i) => ['check', '--operator', write(`listen-${i}.xml`, xml(listen))],
   );
+  const flag = '<micaworks><operations><handOverOnStop>perhaps</handOverOnStop></operations></micaworks>';
   const noTeam = { ...encodeSubmission(sampleJob('j-1')), Crew: null };
   const cases: string[][] = [
     ...wrongXml,
+    ['check', '--operator', write('flag.xml', flag)],
     [],
     ['frobnicate'],
     ['duties', '--node', 'nowhere'],
--- a/packages/cluster/membership.ts
+++ b/packages/cluster/membership.ts
@@ -110,6 +110,15 @@
     return this.notes.resigned;
   }
 
+  /** Gives up all that this process holds, at once and for good: its grant ends, and with it every key that hangs on it. */
+  async retire(): Promise<void> {
+    const leaseId = this.standing?.leaseId;
+    this.standing = null;
+    this.enter('stopped');
+    this.duties.refresh();
+    if (leaseId !== undefined) await this.store.revoke(leaseId).catch(() => undefined);
+  }
+
   stop(): void {
     this.enter('stopped');
   }
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -223,6 +223,12 @@
     return this.handOver.resign(duty);
   }
 
+  /** Gives up all duties before a planned stop, so that they are vacant for no longer than it takes to elect anew. */
+  async retire(): Promise<void> {
+    await this.handOver.retire();
+    this.stop();
+  }
+
   /** The term under which this node believes to lead; null if it doesn't. */
   leadTerm(): number | null {
     return this.membership.duties.prove('lead')?.term ?? null;
--- a/packages/daemon/hand-over.ts
+++ b/packages/daemon/hand-over.ts
@@ -40,6 +40,16 @@
     return refused('it could not be handed over in time; it is held as before');
   }
 
+  /**
+   * Gives everything up before a planned stop: the lead in an orderly way where another member can take it, then the
+   * grant on which the rest hangs. What is refused or not answered ends with the grant by itself, seconds later.
+   */
+  async retire(): Promise<void> {
+    const { membership } = this.parts;
+    if (membership.duties.prove('lead')) await this.resign('lead');
+    await membership.retire();
+  }
+
   private reasonAgainst(duty: DutyName): string | null {
     const { membership, replica, freshness, allNodes } = this.parts;
     const name = formatDutyName(duty);
--- a/packages/daemon/run-node.ts
+++ b/packages/daemon/run-node.ts
@@ -10,6 +10,9 @@
 import { Controller } from './controller.js';
 import { pingOver, servePings } from './links.js';
 
+/** A planned stop takes no longer than this. */
+const RETIRE_PATIENCE_MS = 10_000;
+
 function steadyClock(): Clock {
   return {
     now: () => Math.floor(Number(hrtime.bigint() / 1000n)),
@@ -41,6 +44,14 @@
   return 2 * callers(settings) + 4 * settings.peers.length + 32 + operators;
 }
 
+/** Ends the process when it is asked to, once its duties are given up or that took too long. */
+function retireOnSignal(controller: Controller): void {
+  process.once('SIGTERM', () => {
+    setTimeout(() => process.exit(0), RETIRE_PATIENCE_MS);
+    void controller.retire().finally(() => process.exit(0));
+  });
+}
+
 async function serveOperators(
   controller: Controller,
   address: string,
@@ -94,5 +105,6 @@
   );
   if (tuning.operatorListen !== null) await serveOperators(controller, tuning.operatorListen, report);
   await listen(app, settings.bind, Math.max(16, settings.sockets - reserve(settings, tuning)));
+  if (tuning.handsOverOnStop) retireOnSignal(controller);
   log.info({ bind: settings.bind, incarnation }, 'listening');
 }
--- a/packages/settings/operator.ts
+++ b/packages/settings/operator.ts
@@ -19,6 +19,8 @@
   choices: number;
   /** Where the operators' listener is to be had; null: nowhere. */
   operatorListen: string | null;
+  /** Duties are handed over when the process is asked to end (SIGTERM). */
+  handsOverOnStop: boolean;
 }
 
 interface Knob {
@@ -45,7 +47,7 @@
 ];
 
 export function standardTuning(): Tuning {
-  const tuning = { operatorListen: null } as Tuning;
+  const tuning = { operatorListen: null, handsOverOnStop: false } as Tuning;
   for (const k of KNOBS) k.set(tuning, k.standard);
   return tuning;
 }
@@ -72,17 +74,31 @@
     k.set(tuning, value);
   }
   tuning.operatorListen = listenAddress(root);
+  tuning.handsOverOnStop = flagAt(root, 'handOverOnStop');
   return tuning;
 }
 
 const LISTEN_PATH = 'operations/listen';
 const PORT_MOST = 65_535;
 
+/** An element below `operations`; undefined if the file doesn't have it. */
+function operationsElement(root: unknown, name: string): unknown {
+  const operations = (root as Record<string, unknown>)['operations'];
+  if (typeof operations !== 'object' || operations === null) return undefined;
+  return (operations as Record<string, unknown>)[name];
+}
+
+/** A flag below `operations`; off if the file doesn't have it. */
+function flagAt(root: unknown, name: string): boolean {
+  const text = operationsElement(root, name);
+  if (text === undefined || text === 'false') return false;
+  if (text === 'true') return true;
+  throw new SettingsError(`operators' file: operations/${name}: must be true or false`);
+}
+
 /** The address of the operators' listener, if the file names one. */
 function listenAddress(root: unknown): string | null {
-  const operations = (root as Record<string, unknown>)['operations'];
-  if (operations === undefined || operations === '') return null;
-  const address = (operations as Record<string, unknown>)['listen'];
+  const address = operationsElement(root, 'listen');
   if (address === undefined) return null;
   const match =
     typeof address === 'string' ? /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(address.trim()) : null;
--- a/packages/testkit/duty-hard-cases.test.ts
+++ b/packages/testkit/duty-hard-cases.test.ts
@@ -306,6 +306,29 @@
   await finish(world);
 });
 
+test('a node that is stopped on purpose leaves nothing vacant for as long as a grant lives', async () => {
+  for (const seed of [297, 298]) {
+    const world = busyWorld({ seed });
+    await world.run(30 * SECOND);
+    const old = leaderOf(world);
+    const ownedBy = (node: number): number[] =>
+      [0, 1, 2].filter(
+        (share) => world.store.rows.get(`mw/now/share/${share}`)?.value['Member'] === `node-${node}`,
+      );
+    void world.controller(old)?.retire();
+    // Half of what a grant lives after its last renewal.
+    await world.run(1.5 * SECOND);
+    assert.ok(leaderOf(world) >= 0 && leaderOf(world) !== old, 'nobody leads');
+    assert.equal(world.store.rows.has(`mw/now/member/node-${old}`), false);
+    assert.equal([0, 1, 2].filter((node) => node !== old).flatMap(ownedBy).length, 3, 'a share has no owner');
+    world.killNode(old);
+    await world.run(5 * SECOND);
+    world.startNode(old);
+    await world.run(20 * SECOND);
+    await finish(world);
+  }
+});
+
 test('a hand-over is refused with the reason where it can not be done safely', async () => {
   const reasons: string[] = [];
   const ask = async (world: SimWorld, node: number, duty: 'lead' | number): Promise<string> => {
--- a/packages/testkit/duty-history.ts
+++ b/packages/testkit/duty-history.ts
@@ -18,7 +18,7 @@
   TOKEN_KEY,
   TYPES,
 } from '#cluster';
-import { type Fields, isFields } from '#wire';
+import { type Fields, isFields, parseTaskName } from '#wire';
 import { BrokenRule } from './rules.js';
 
 /** Whose effects are judged: the version in production knows neither terms nor the record rule. */
@@ -31,6 +31,9 @@
 /** How many effects there were of each kind; those of terms that were over are counted apart. */
 export interface EffectCounts {
   commits: number;
+  /** Starts that workers executed, and those under a token that had been raised since. */
+  launches: number;
+  lateLaunches: number;
   rentals: number;
   deletions: number;
   lateRentals: number;
@@ -51,11 +54,21 @@
 
 export class DutyHistory {
   readonly counts: EffectCounts = {
-    ...{ commits: 0, rentals: 0, deletions: 0, lateRentals: 0, lateDeletions: 0, unrecordedByOld: 0 },
+    ...{
+      launches: 0,
+      lateLaunches: 0,
+      commits: 0,
+      rentals: 0,
+      deletions: 0,
+      lateRentals: 0,
+      lateDeletions: 0,
+      unrecordedByOld: 0,
+    },
   };
   private readonly ledger = new Ledger();
   private readonly recordedRentals = new Set<string>();
   private term = 0;
+  private token = 0;
 
   constructor(private readonly revisionOf: (path: string) => number) {}
 
@@ -74,10 +87,30 @@
     for (const write of writes) {
       const path = String(write['Set'] ?? '');
       if (path === LEAD) this.term = epoch;
+      if (path === TOKEN_KEY) this.takeToken(write['V']);
       if (path.startsWith(LOGS)) this.takeRecord(path, write['V'] as unknown as PlacementRecord);
     }
   }
 
+  /** A worker starts a task: its start must be in a record, and not have ended. */
+  launched(taskName: string, attempt: number, host: string, token: number): void {
+    this.counts.launches++;
+    const at = parseTaskName(taskName);
+    const placement = at ? this.ledger.placement(at.job, at.index) : undefined;
+    if (token > this.token) {
+      throw new BrokenRule(
+        'unrecorded',
+        `${taskName} starts under token ${token}, the highest is ${this.token}`,
+      );
+    }
+    if (token < this.token) this.counts.lateLaunches++;
+    if (placement?.attempt === attempt && placement.host === host) return;
+    throw new BrokenRule(
+      'unrecorded',
+      `attempt ${attempt} of ${taskName} starts on ${host} without a record`,
+    );
+  }
+
   /** The cloud rents machines under this name for the first time. */
   rented(name: string, sender: Sender): void {
     this.counts.rentals++;
@@ -117,6 +150,12 @@
     throw new BrokenRule('ownership', `${String(write['Set'])} was ended by no owner of a share`);
   }
 
+  private takeToken(value: unknown): void {
+    const token = isFields(value) ? Number(value['Token']) : NaN;
+    if (!(token > this.token)) throw new BrokenRule('token', `${this.token} is followed by ${token}`);
+    this.token = token;
+  }
+
   private takeRecord(path: string, record: PlacementRecord): void {
     for (const [name] of record.rentals ?? []) {
       if (this.recordedRentals.has(name)) throw new BrokenRule('unrecorded', `rental ${name} is named twice`);
--- a/packages/testkit/loopback-node.ts
+++ b/packages/testkit/loopback-node.ts
@@ -73,8 +73,9 @@
     const config = join(folder, `${addresses.member}.toml`);
     const operator = join(folder, `${addresses.member}.xml`);
     writeFileSync(config, platformSettings(addresses, all, services));
-    const listen = `<operations><listen>${addresses.operators}</listen></operations>`;
-    writeFileSync(operator, `<micaworks>${listen}</micaworks>`);
+    const listen = `<listen>${addresses.operators}</listen>`;
+    const stop = '<handOverOnStop>true</handOverOnStop>';
+    writeFileSync(operator, `<micaworks><operations>${listen}${stop}</operations></micaworks>`);
     this.args = [MAIN, '--config', config, '--operator', operator];
   }
 
@@ -105,6 +106,16 @@
     this.isFrozen = false;
   }
 
+  /** Asks the process to end, as for a planned stop; resolves with its exit code. */
+  retire(): Promise<number | null> {
+    const { child } = this;
+    this.child = null;
+    return new Promise((resolve) => {
+      child?.once('exit', resolve);
+      child?.kill('SIGTERM');
+    });
+  }
+
   /** Ends the process, frozen or not. */
   kill(): void {
     const { child } = this;
--- a/packages/testkit/loopback-trial.ts
+++ b/packages/testkit/loopback-trial.ts
@@ -243,6 +243,11 @@
       limits: { report: SECOND, lease: 6 * SECOND },
       capacity: { cpus: 4, gpus: 0, memGb: 16 },
       faulty: false,
+      onLaunch: (...launch) => {
+        this.guarded(() => {
+          this.history.launched(...launch);
+        });
+      },
     });
     this.workers.set(host.host, worker);
   }
--- a/packages/testkit/loopback.test.ts
+++ b/packages/testkit/loopback.test.ts
@@ -5,6 +5,29 @@
 const SEED = Number(process.env['LOOPBACK_SEED'] ?? 1);
 const SECONDS = Number(process.env['LOOPBACK_SECONDS'] ?? 20);
 
+test('a real leader that is asked to end hands over and ends with exit code 0', async () => {
+  const trial = new LoopbackTrial({ seed: SEED, durationMs: 0 });
+  const untilLed = async (by: (member: string) => boolean): Promise<string> => {
+    for (let i = 0; i < 300; i++) {
+      const member = trial.leader?.addresses.member;
+      if (member !== undefined && by(member)) return member;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    return 'nobody';
+  };
+  try {
+    await trial.start();
+    const old = await untilLed(() => true);
+    // Another member has to be there to take over.
+    await new Promise((resolve) => setTimeout(resolve, 3000));
+    assert.equal(await trial.leader?.retire(), 0);
+    const next = await untilLed((member) => member !== old);
+    assert.ok(next !== 'nobody' && next !== old, `led by ${next}`);
+  } finally {
+    trial.stop();
+  }
+});
+
 test('real controllers on loopback, frozen, thawed and killed at random, keep the rules and their terms', async (t) => {
   const trial = new LoopbackTrial({ seed: SEED, durationMs: SECONDS * 1000 });
   try {
--- a/packages/testkit/sim-worker.ts
+++ b/packages/testkit/sim-worker.ts
@@ -40,6 +40,8 @@
   capacity: { cpus: number; gpus: number; memGb: number };
   /** Every task fails here. */
   faulty: boolean;
+  /** Told of every start that the worker executes, with the token of the answer that carried it. */
+  onLaunch: (task: string, attempt: number, host: string, token: number) => void;
 }
 
 /** A machine's worker, as the protocol describes it. */
@@ -196,6 +198,7 @@
     const other = [...this.tasks.values()].some((t) => t.piece === piece && t.status !== 'exited');
     this.tasks.set(key, task);
     this.changed = true;
+    this.world.onLaunch(piece, attempt, this.machine.host, this.baton);
     if (!spec) this.exit(task, 'unknown');
     else if (other) this.exit(task, 'in_use');
     else if (!this.hasRoom()) this.exit(task, 'full');
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -446,6 +446,11 @@
       limits: this.settingsOf(0),
       capacity: { cpus: type.cpus, gpus: type.gpus, memGb: type.memGb },
       faulty: this.random() < this.faultyShare,
+      onLaunch: (...launch) => {
+        this.guarded(() => {
+          this.history.launched(...launch);
+        });
+      },
     });
     this.workers.set(host.host, worker);
   }
