--- a/packages/testkit/duties.test.ts
+++ b/packages/testkit/duties.test.ts
@@ -27,6 +27,8 @@
   clock.at(20 * SECOND, harm);
   await world.run(220 * SECOND);
   cloud.lateRequests = 0;
+  // Slow boots are a trouble, too: with one machine type a job can meet four of them in a row (seed 108).
+  cloud.slowBoots = 0;
   world.rules.troublesOver(clock.time);
   await world.run(160 * SECOND);
   return world;
--- a/packages/testkit/duty-hard-cases.test.ts
+++ b/packages/testkit/duty-hard-cases.test.ts
@@ -163,6 +163,7 @@
     world.clock.at(25 * SECOND, harm);
     await world.run(200 * SECOND);
     world.cloud.lateRequests = 0;
+    world.cloud.slowBoots = 0;
     // Times of day in the records make some waits as long as the clocks are apart: nothing is asked of those.
     await world.run(200 * SECOND);
     assert.ok(world.rules.starts > 20, `only ${world.rules.starts} starts`);
@@ -487,6 +488,7 @@
     });
     await world.run(210 * SECOND);
     cloud.lateRequests = 0;
+    cloud.slowBoots = 0;
     world.rules.troublesOver(clock.time);
     await world.run(160 * SECOND);
     assert.ok(world.history.counts.deletions > 0, 'nothing was deleted');
