--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -124,7 +124,9 @@
     this.recording = true;
     try {
       const landed = await this.parts.writer.append(new Map<LogId, RecordDraft>([['lead', draft]]));
-      if (landed) this.fleet.landed(draft);
+      if (!landed) return;
+      this.fleet.landed(draft);
+      this.fleet.deleteNamed();
     } finally {
       this.recording = false;
     }
--- a/packages/fleet/fleet-manager.ts
+++ b/packages/fleet/fleet-manager.ts
@@ -297,6 +297,14 @@
     return intents;
   }
 
+  /**
+   * Deletes what the record that has just landed named, without waiting for the next step: on a large fleet that is
+   * seconds away, and tasks on machines that are gone start elsewhere only once the deletion is answered.
+   */
+  deleteNamed(): void {
+    if (this.proof) void this.deleteReturned(this.proof);
+  }
+
   private async deleteReturned(proof: TermProof): Promise<void> {
     if (this.deleting) return;
     const intents = [...this.returnIntents().values()].slice(0, MAX_DELETE);
