Lost state is noticed, and nothing is begun while the state service shows less than was seen before (off by default)

A node that took what is left for the state forgot jobs, started second copies and used attempt numbers again.

Change: package recovery. What the state service shows is compared with what the node, its workers and its peers have seen: epochs of answers (a commit's must be new), revisions and places of rows, the token, log positions, keys that no node removes, the attempts and tokens in workers' reports. From the first contradiction on the node treats the state service as one that refuses it, so that the proofs and bounds of an outage hold; starts and reaps stop as well. It goes on when a whole reading bears out all that was ever seen. Its copy stays as it is meanwhile: replica.ts reads into a new ledger first (live-state.ts). Peers tell what they remember once all nodes have announced `memory`; the message is the same to the byte until then. Switched on by recovery/noticeLoss in the operators' XML.

Found by the tests on the way, each with a comment: an old watch that is answered from the new history had raised the highest epoch; the parts of a checkpoint that is replaced in the same batch looked lost; a reading begun before an alarm ended it; a lost history that grew past the known epoch (grants that end count) was believed by a node without a copy.

--- a/packages/cli/cli.test.ts
+++ b/packages/cli/cli.test.ts
@@ -6,11 +6,35 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import type { DutyName } from '#duties';
-import { createOperatorApp, listenForOperators, type NodeDutyReport, type ResignResult } from '#operations';
+import {
+  createOperatorApp,
+  listenForOperators,
+  type NodeDutyReport,
+  type NodeLossReport,
+  type ResignResult,
+} from '#operations';
 import { encodeSubmission } from '#wire';
 import { sampleJob } from '#testkit';
 import { execute, FAILURE_EXIT, USAGE_EXIT } from './index.js';
 
+/** A node whose state service shows an epoch below one that it has shown before. */
+const LOSS: NodeLossReport = {
+  member: 'node-2',
+  loss: {
+    state: 'frozen',
+    sinceS: 12.5,
+    falseAlarms: 1,
+    seen: { epoch: 431, token: 7, positions: { lead: 3 } },
+    evidence: [
+      {
+        source: 'own requests',
+        contradiction: { kind: 'epoch_went_back', known: 431, shown: 9 },
+        text: 'own requests: epoch 9 is shown, 431 was seen',
+      },
+    ],
+  },
+};
+
 const REPORT: NodeDutyReport = {
   member: 'node-1',
   membership: 'member',
@@ -56,7 +80,7 @@
   const unexpected = (cause: unknown): void => {
     throw cause;
   };
-  const app = createOperatorApp({ dutyReport: () => REPORT, resign }, unexpected);
+  const app = createOperatorApp({ dutyReport: () => REPORT, lossReport: () => LOSS, resign }, unexpected);
   const server = await listenForOperators(app, '127.0.0.1:0');
   try {
     await act(`127.0.0.1:${portOf(server)}`, resigned);
--- a/packages/cluster/capabilities.ts
+++ b/packages/cluster/capabilities.ts
@@ -7,12 +7,13 @@
 
 /**
  * `gangs`: jobs whose tasks start together, their starts in the logs and in checkpoints. `handover`: the shares that a
- * member gives up, in its record; the leader deals them to others.
+ * member gives up, in its record; the leader deals them to others. `memory`: peers tell each other what they
+ * remember of the state, after what older versions read of a message.
  */
-export type Capability = 'gangs' | 'handover';
+export type Capability = 'gangs' | 'handover' | 'memory';
 
 /** What this version announces. */
-export const OWN_CAPABILITIES: readonly Capability[] = ['gangs', 'handover'];
+export const OWN_CAPABILITIES: readonly Capability[] = ['gangs', 'handover', 'memory'];
 
 /** A node's announcement, as it lies in its member record and, beyond its process's end, under a key of its own. */
 export function encodeCapabilities(): Fields {
--- a/packages/cluster/keys.ts
+++ b/packages/cluster/keys.ts
@@ -19,8 +19,6 @@
 export const SHARES = 'mw/now/share/';
 export const TYPES = 'mw/now/type/';
 export const OVER = 'mw/over/';
-/** Never written: reading it costs one request and tells the present epoch. */
-export const NOTHING = 'mw/nothing';
 
 /** A log has one writer: the holder of the duty of the same name. */
 export type LogId = DutyName;
--- a/packages/cluster/ledger.ts
+++ b/packages/cluster/ledger.ts
@@ -12,6 +12,11 @@
   return sequence * ATTEMPT_STRIDE + share;
 }
 
+/** The log and the record that an attempt was made by. */
+export function attemptOrigin(attempt: number): { share: number; sequence: number } {
+  return { share: attempt % ATTEMPT_STRIDE, sequence: Math.floor(attempt / ATTEMPT_STRIDE) };
+}
+
 const IMAGES_KEPT = 16;
 /** From so many failures without a success between them a job, and not its machines, is held at fault. */
 export const JOB_AT_FAULT = 3;
--- /dev/null
+++ b/packages/cluster/live-state.ts
@@ -0,0 +1,152 @@
+/** All live state as the state service lists it, read into a ledger; and changes that no node ever makes. */
+import type { Change, Row } from '#store';
+import type { CheckpointRow } from './checkpoint.js';
+import {
+  CHECKPOINT_HEAD,
+  checkpointOfKey,
+  chunkKey,
+  CHUNKS,
+  JOBS,
+  logOfKey,
+  LOGS,
+  OVER,
+  overKey,
+  TOKEN_KEY,
+} from './keys.js';
+import { Ledger, type PlacementRecord, type Positions } from './ledger.js';
+import { decodeToken, UNREADABLE_TOKEN } from './rows.js';
+import type { RowDifferences } from './state-check.js';
+
+/** All live rows as of one epoch. */
+export interface LiveRows {
+  rows: Row[];
+  /** The epoch up to which the rows are complete, and that of the last page read. */
+  from: number;
+  to: number;
+}
+
+/** What was read lacks parts: something changed meanwhile, or is lost. */
+export class IncompleteState extends Error {}
+
+/** The ledger that checkpoint and logs make; throws {@link IncompleteState} where parts are missing. */
+export function buildLedger({ rows }: LiveRows): Ledger {
+  const ledger = new Ledger();
+  const head = rows.find((r) => r.path === CHECKPOINT_HEAD)?.value;
+  if (head) {
+    const byPath = new Map(rows.filter((r) => r.path.startsWith(CHUNKS)).map((r) => [r.path, r]));
+    const parts: CheckpointRow[] = [];
+    for (let i = 0; i < Number(head['Chunks']); i++) {
+      const chunk = byPath.get(chunkKey(String(head['Id']), i));
+      if (!chunk) throw new IncompleteState(`checkpoint lacks part ${i}`);
+      parts.push(...(chunk.value['Rows'] as CheckpointRow[]));
+    }
+    ledger.restore(head['Positions'] as Positions, parts);
+  }
+  // The order of commits is the order of their epochs, whichever logs they went to.
+  const records = rows.filter((row) => row.path.startsWith(LOGS)).sort(inOrder);
+  const live = liveJobs(rows);
+  for (const { path, value } of records) {
+    const record = value as unknown as PlacementRecord;
+    // A place may have been taken anew since the checkpoint was read.
+    if (!ledger.apply(logOfKey(path), record)) {
+      throw new IncompleteState('log and checkpoint were read at different times');
+    }
+    for (const [job] of record.ends ?? []) if (!live.has(job)) ledger.drop(job);
+  }
+  for (const job of [...ledger.jobEntries.keys()]) if (!live.has(job)) ledger.drop(job);
+  return ledger;
+}
+
+/** Jobs that have not ended. */
+function liveJobs(rows: readonly Row[]): Set<string> {
+  const live = rows.filter(({ path, value }) => path.startsWith(JOBS) && value['Status'] === undefined);
+  return new Set(live.map(({ path }) => path.slice(JOBS.length)));
+}
+
+/** The cluster's token as these rows have it. */
+export function tokenIn({ rows }: LiveRows): number {
+  const value = rows.find((row) => row.path === TOKEN_KEY)?.value ?? null;
+  return decodeToken(value) ?? UNREADABLE_TOKEN;
+}
+
+/** The order of commits, and within one that of its records: the same on every node, however it reads them. */
+export function inOrder(x: Change, y: Change): number {
+  return x.revision - y.revision || Number(x.value?.['order'] ?? 0) - Number(y.value?.['order'] ?? 0);
+}
+
+/** What a copy knows of the place of a record. */
+export interface LogPlace {
+  seq: number;
+  revision: number;
+}
+
+/** The revisions that a copy holds, and the records in their places. */
+export interface HeldRows {
+  revisions: ReadonlyMap<string, number>;
+  places: ReadonlyMap<string, LogPlace>;
+}
+
+/** Compares rows that were read with what a copy held before: in one history no row grows older. */
+export function compareRows({ rows }: LiveRows, { revisions, places }: HeldRows): RowDifferences {
+  const shown = new Map(rows.map((row) => [row.path, row]));
+  const forked: string[] = [];
+  const wentBack: string[] = [];
+  const absent: string[] = [];
+  for (const [path, { seq, revision }] of places) {
+    const row = shown.get(path);
+    if (!row) absent.push(path);
+    else if (row.revision < revision) wentBack.push(path);
+    else if (Number(row.value['sequence']) === seq && row.revision !== revision) forked.push(path);
+  }
+  for (const [path, revision] of revisions) {
+    const row = shown.get(path);
+    if (!row) absent.push(path);
+    else if (row.revision < revision) wentBack.push(path);
+  }
+  return { forked, wentBack, absent };
+}
+
+/** What a copy holds that changes are compared with. */
+export interface CopyFacts {
+  checkpointId: string;
+  isLive(job: string): boolean;
+  position(path: string): number;
+}
+
+/**
+ * Keys that changes take away, or take back to an earlier record, though no node ever does so: records, the token, the
+ * present checkpoint, jobs that have not ended, and what became of jobs.
+ */
+export function lostKeys(changes: readonly Change[], copy: CopyFacts): string[] {
+  const lost: string[] = [];
+  const ended = new Set<string>();
+  let { checkpointId } = copy;
+  for (const { path, value } of [...changes].sort(inOrder)) {
+    if (path === CHECKPOINT_HEAD && value) checkpointId = String(value['Id']);
+    else if (path.startsWith(JOBS)) {
+      const job = path.slice(JOBS.length);
+      if (value?.['Status'] !== undefined) ended.add(job);
+      else if (!value && copy.isLive(job) && !ended.has(job)) lost.push(path);
+    } else if (path.startsWith(LOGS)) {
+      const isBack = value !== null && Number(value['sequence']) <= copy.position(path);
+      if (!value || isBack) lost.push(path);
+    } else if (!value && isKeptForever(path, checkpointId)) lost.push(path);
+  }
+  return lost;
+}
+
+/** A key that would make up for a lost one: a job's end for its record. */
+export function successorOf(path: string): string | null {
+  return path.startsWith(JOBS) ? overKey(path.slice(JOBS.length)) : null;
+}
+
+/** A part of a checkpoint that these rows don't rely on. */
+export function isOldChunk(path: string, { rows }: LiveRows): boolean {
+  const head = rows.find((row) => row.path === CHECKPOINT_HEAD);
+  return path.startsWith(CHUNKS) && head !== undefined && checkpointOfKey(path) !== String(head.value['Id']);
+}
+
+function isKeptForever(path: string, checkpointId: string): boolean {
+  if (path.startsWith(CHUNKS)) return checkpointOfKey(path) === checkpointId;
+  return path === TOKEN_KEY || path === CHECKPOINT_HEAD || path.startsWith(OVER);
+}
--- a/packages/cluster/peers.ts
+++ b/packages/cluster/peers.ts
@@ -12,6 +12,16 @@
   served: boolean;
   /** By owner: how many machines' workers it has sent there of late. */
   referred: Record<string, number>;
+  /** What it remembers of the state; null if it doesn't tell. */
+  memory: PeerMemory | null;
+}
+
+/** What a peer remembers of the state, for those that remember less. */
+export interface PeerMemory {
+  /** The highest epoch that the state service has shown it. */
+  epoch: number;
+  /** What it remembers itself contradicts what the state service shows now. */
+  isContradicted: boolean;
 }
 
 export interface PingAnswer {
@@ -41,7 +51,7 @@
     private readonly clock: Clock,
     private readonly log: Logger,
     private readonly changed: (unreachable: string[]) => void,
-    private readonly told: (word: PeerWord) => void,
+    private readonly told: (word: PeerWord, member: string) => void,
   ) {
     this.states = peers.map((p) => ({ ...p, okAt: clock.now(), last: 'ok' }));
   }
@@ -71,7 +81,7 @@
   }): Promise<void> {
     while (this.running) {
       const { result, word } = await this.ping(state.endpoint, TIMEOUT);
-      if (word) this.told(word);
+      if (word) this.told(word, state.member);
       if (result !== state.last) this.log.debug({ peer: state.member, result }, 'peer link');
       state.last = result;
       if (result === 'ok') state.okAt = this.clock.now();
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -6,14 +6,13 @@
   CHECKPOINT_HEAD,
   CHUNKS,
   checkpointOfKey,
-  chunkKey,
+  jobKey,
   JOBS,
   LEAD,
   logKey,
   type LogId,
   LOGS,
   MEMBERS,
-  NOTHING,
   NOW,
   OVER,
   overKey,
@@ -22,7 +21,19 @@
   TYPES,
 } from './keys.js';
 import { allSupport, type Capability, decodeCapabilities } from './capabilities.js';
-import type { CheckpointRow } from './checkpoint.js';
+import {
+  buildLedger,
+  compareRows,
+  type HeldRows,
+  IncompleteState,
+  inOrder,
+  isOldChunk,
+  type LiveRows,
+  type LogPlace,
+  lostKeys,
+  successorOf,
+  tokenIn,
+} from './live-state.js';
 import {
   decodeFinal,
   decodeHolder,
@@ -37,7 +48,8 @@
   UNREADABLE_TOKEN,
 } from './rows.js';
 import { Ledger, type PlacementRecord, type Positions } from './ledger.js';
-import { type Change, Meter, Pace, type Row, type StoreClient, StoreError } from '#store';
+import { type StateCheck, type StateSummary, TRUSTING_STATE_CHECK } from './state-check.js';
+import { type Change, Meter, NEVER_WRITTEN, Pace, type Row, type StoreClient, StoreError } from '#store';
 import {
   type Clock,
   type Fields,
@@ -79,6 +91,9 @@
 const FOLLOW_PART = 0.3;
 const BARRIER_PART = 0.25;
 const RECENT_FINALS = 2000;
+/** Time between two readings of all live state while it is not believed, and how many lost keys each looks for. */
+const JUDGE_GAP: Micros = SECOND;
+const KEYS_SOUGHT = 20;
 const NO_CHECKPOINT = { id: '', positions: {}, chunks: 0, revision: 0 };
 
 /**
@@ -107,11 +122,12 @@
   state: ReplicaState = 'loading';
 
   private finals = new Map<string, Final>();
-  private logRows = new Map<string, { seq: number; revision: number }>();
+  private logRows = new Map<string, LogPlace>();
   private chunkRows = new Set<string>();
   private listeners: (() => void)[] = [];
   private waiting: { epoch: number; done: (ok: boolean) => void }[] = [];
   private nextBarrier: Promise<boolean> | null = null;
+  private interruptWatch: () => void = () => undefined;
   private lastBarrier: Micros = -Infinity;
   private readonly changes: Meter;
   private readonly follows: Pace;
@@ -123,7 +139,11 @@
     private readonly log: Logger,
     /** Requests a second that the state service allows all nodes. */
     stateRps: number,
+    private readonly check: StateCheck = TRUSTING_STATE_CHECK,
   ) {
+    check.onClose(() => {
+      this.interruptWatch();
+    });
     this.changes = new Meter(clock);
     this.follows = new Pace(clock, () => this.partOf(stateRps * FOLLOW_PART));
     this.barriers = new Pace(clock, () => this.partOf(stateRps * BARRIER_PART));
@@ -155,11 +175,13 @@
   async run(): Promise<void> {
     while (!this.stopped()) {
       try {
-        if (this.state === 'loading') await this.load();
+        if (this.state === 'loading' || !this.check.isOpen()) await this.load();
         else await this.follow();
       } catch (cause) {
         this.log.debug({ cause: String(cause) }, 'watch interrupted');
-        await sleep(this.clock, cause instanceof StoreError ? 250 * MS : SECOND);
+        if (cause instanceof IncompleteState) this.check.incomplete(cause.message);
+        const isRefusal = cause instanceof StoreError && this.check.isOpen();
+        await sleep(this.clock, isRefusal ? 250 * MS : JUDGE_GAP);
       }
     }
   }
@@ -265,8 +287,9 @@
     const sent = this.clock.now();
     this.lastBarrier = sent;
     try {
-      const { epoch } = await this.store.get(NOTHING);
+      const { epoch } = await this.store.get(NEVER_WRITTEN);
       if (!(await this.reach(epoch, SECOND))) return false;
+      if (!this.check.confirm(sent, this.summary())) return false;
       this.freshAt = Math.max(this.freshAt, sent);
       return true;
     } catch {
@@ -279,7 +302,7 @@
    * committed after an earlier one was read. Such rows are left to the watch, which brings them in their order
    * with all that the earlier pages missed: applied here, a start could come before the end that it relies on.
    */
-  private async readLiveState(): Promise<{ rows: Row[]; from: number; to: number }> {
+  private async readLiveState(): Promise<LiveRows> {
     const rows: Row[] = [];
     let from: number | null = null;
     for (let after = ''; ;) {
@@ -292,9 +315,56 @@
     }
   }
 
+  /** The numbers of this copy that never fall. */
+  summary(): StateSummary {
+    return {
+      epoch: this.applied,
+      token: this.token.value,
+      positions: this.ledger.allPositions(),
+    };
+  }
+
+  /** The revisions of those rows of this copy that are only ever replaced, but for those of jobs that end. */
+  private heldRows(): HeldRows {
+    const revisions = new Map<string, number>();
+    for (const [id, { revision }] of this.jobs) revisions.set(jobKey(id), revision);
+    for (const [id, { revision }] of this.ended) revisions.set(jobKey(id), revision);
+    if (this.token.revision > 0) revisions.set(TOKEN_KEY, this.token.revision);
+    if (this.checkpoint.revision > 0) revisions.set(CHECKPOINT_HEAD, this.checkpoint.revision);
+    return { revisions, places: this.logRows };
+  }
+
+  /** Reads all live state, and takes it for the copy unless it contradicts what is known. */
   private async load(): Promise<void> {
-    const { rows, from, to } = await this.readLiveState();
-    this.ledger = new Ledger();
+    const sentAt = this.clock.now();
+    const known = this.applied > 0 ? { ...this.summary(), epoch: this.check.floor() } : null;
+    const live = await this.readLiveState();
+    const ledger = buildLedger(live);
+    await this.seekMissingKeys(live);
+    const shown = { epoch: live.from, token: tokenIn(live), positions: ledger.allPositions() };
+    // Until then the copy stays: of what was lost, it may be the only one.
+    const differences = compareRows(live, this.heldRows());
+    if (!this.check.judge({ sentAt, shown, known, differences })) throw new StoreError(0);
+    this.replaceCopy(ledger, live);
+  }
+
+  /** Looks for keys that had gone: there again, replaced by what follows them, or not needed any more. */
+  private async seekMissingKeys(live: LiveRows): Promise<void> {
+    const shown = new Set(live.rows.map(({ path }) => path));
+    const missing = this.check.missingKeys();
+    for (const key of missing) if (shown.has(key) || isOldChunk(key, live)) this.check.found(key);
+    for (const key of this.check.missingKeys().slice(0, KEYS_SOUGHT)) {
+      if (await this.isStored(successorOf(key) ?? key)) this.check.found(key);
+    }
+  }
+
+  private async isStored(key: string): Promise<boolean> {
+    const { rows } = await this.store.list(key, '');
+    return rows.some((row) => row.path === key);
+  }
+
+  private replaceCopy(ledger: Ledger, { rows, from, to }: LiveRows): void {
+    this.ledger = ledger;
     this.jobs.clear();
     this.ended.clear();
     this.types.clear();
@@ -306,25 +376,10 @@
     this.owners.clear();
     this.token = { value: 0, revision: 0 };
     this.checkpoint = NO_CHECKPOINT;
-    const records = rows.filter((row) => row.path.startsWith(LOGS));
-    for (const row of rows) if (!row.path.startsWith(LOGS)) this.take(row);
-    const head = rows.find((r) => r.path === CHECKPOINT_HEAD)?.value;
-    if (head) {
-      const parts: CheckpointRow[] = [];
-      for (let i = 0; i < Number(head['Chunks']); i++) {
-        const chunk = rows.find((r) => r.path === chunkKey(String(head['Id']), i));
-        if (!chunk) throw new Error(`checkpoint lacks part ${i}`);
-        parts.push(...(chunk.value['Rows'] as CheckpointRow[]));
-      }
-      this.ledger.restore(head['Positions'] as Positions, parts);
+    for (const row of rows) {
+      if (row.path.startsWith(LOGS)) this.noteLogRow(row);
+      else this.take(row);
     }
-    // The order of commits is the order of their epochs, whichever logs they went to.
-    records.sort(inOrder);
-    for (const row of records) {
-      // A place may have been taken anew since the checkpoint was read.
-      if (!this.takeRecord(row)) throw new Error('log and checkpoint were read at different times');
-    }
-    for (const job of [...this.ledger.jobEntries.keys()]) if (!this.jobs.has(job)) this.ledger.drop(job);
     this.applied = from;
     this.catchUpTo = to;
     this.log.info({ jobs: this.jobs.size, records: this.ledger.size, epoch: from, to }, 'state loaded');
@@ -337,19 +392,40 @@
     const wait = this.follows.wait();
     if (wait > 0) await sleep(this.clock, wait);
     this.follows.take(1);
-    const answer = await this.store.follow(ALL, this.applied, BLOCK);
+    const answer = await this.unlessClosed(this.store.follow(ALL, this.applied, BLOCK));
     if (this.stopped()) return;
     if (!answer) {
       this.log.info({ applied: this.applied }, 'watch too old, reading all live state again');
       this.enter('loading');
       return;
     }
+    this.refuseLosses(answer.news);
     this.changes.add(answer.news.length);
     for (const change of answer.news.sort(inOrder)) this.take(change);
     this.applied = Math.max(this.applied, answer.epoch);
     this.announceIfCurrent();
   }
 
+  /** The answer of a watch; fails as soon as the state is not to be believed, since a watch may stay open for long. */
+  private unlessClosed<T>(watch: Promise<T>): Promise<T> {
+    return new Promise((resolve, reject) => {
+      this.interruptWatch = () => {
+        reject(new StoreError(0));
+      };
+      watch.then(resolve, reject);
+    });
+  }
+
+  /** Throws, before anything of it is applied, if the changes take away what no node ever removes. */
+  private refuseLosses(changes: readonly Change[]): void {
+    const lost = lostKeys(changes, {
+      checkpointId: this.checkpoint.id,
+      isLive: (job) => this.jobs.has(job),
+      position: (path) => this.ledger.seq(logOfKey(path)),
+    });
+    if (lost.length > 0 && this.check.refuses(lost)) throw new StoreError(0);
+  }
+
   private announceIfCurrent(): void {
     if (this.state === 'catching_up' && this.applied >= this.catchUpTo) this.enter('following');
     if (this.state === 'following') this.announce();
@@ -407,12 +483,16 @@
       return true;
     }
     const record = value as unknown as PlacementRecord;
-    this.logRows.set(path, { seq: record.sequence, revision });
+    this.noteLogRow({ path, value, revision });
     if (!this.ledger.apply(logOfKey(path), record)) return false;
     for (const [job] of record.ends ?? []) if (!this.jobs.has(job)) this.ledger.drop(job);
     return true;
   }
 
+  private noteLogRow({ path, value, revision }: Row): void {
+    this.logRows.set(path, { seq: Number(value['sequence']), revision });
+  }
+
   private takeJob(id: string, { value, revision }: Change): void {
     this.ended.delete(id);
     if (value && value['Status'] === undefined) {
@@ -453,8 +533,3 @@
 function committedBy(epoch: number): (row: Row) => boolean {
   return (row) => row.revision <= epoch;
 }
-
-/** The order of commits, and within one that of its records: the same on every node, however it reads them. */
-function inOrder(x: Change, y: Change): number {
-  return x.revision - y.revision || Number(x.value?.['order'] ?? 0) - Number(y.value?.['order'] ?? 0);
-}
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -9,6 +9,7 @@
   type Logger,
   LogWriter,
   Membership,
+  type PeerMemory,
   type PeerWord,
   PeerWatch,
   type Ping,
@@ -16,14 +17,17 @@
   Replica,
   type ShareOwner,
   type StateCopy,
+  TRUSTING_STATE_CHECK,
   WorkerContact,
 } from '#cluster';
-import type { NodeDutyReport } from '#operations';
+import type { NodeDutyReport, NodeLossReport } from '#operations';
+import { LossWatch } from '#recovery';
 import type { Settings, Tuning } from '#settings';
-import { Pace, StoreClient, WriteLimits } from '#store';
+import { Pace, StoreClient, TRUSTING_EPOCH_CHECK, WriteLimits } from '#store';
 import {
   type Caller,
   type Clock,
+  type Command,
   encodeRedirect,
   encodeReportAnswer,
   type Micros,
@@ -78,6 +82,8 @@
 /** The same, once a log is so full that its records may soon have to wait for a checkpoint. */
 const URGENT_CHECKPOINT_PART = 0.35;
 const URGENT_FILL = 0.6;
+/** How long a worker or peer that has fallen silent is believed to have seen more than the state service shows. */
+const CLAIM_LIFE: Micros = 60 * SECOND;
 /** A round starts no sooner than so many times its planning after the one before. */
 const PLAN_REST = 4;
 
@@ -92,6 +98,10 @@
   private readonly runTimes: RunTimes;
   private readonly leader: Leader;
   private readonly handOver: HandOver;
+  /** Null unless the operators' settings switch it on. */
+  private readonly lossWatch: LossWatch | null;
+  /** Every node of the cluster, whether it is up or not. */
+  private readonly allNodes: readonly string[];
   private readonly peers: PeerWatch;
   private readonly contact: WorkerContact;
   private readonly freshness: StateFreshness;
@@ -114,13 +124,26 @@
     const { settings, clock, call, log } = parts;
     this.clock = clock;
     this.log = log;
-    const store = new StoreClient(settings.state, call);
-    const replica = new Replica(store, clock, log, settings.stateRps);
+    const { tuning } = parts;
+    const { member, domain, peers } = settings;
+    this.allNodes = [member, ...peers.map((peer) => peer.member)];
+    const watch = {
+      clock,
+      log,
+      claimLife: CLAIM_LIFE,
+      peerCount: peers.length,
+      reportInterval: settings.report,
+    };
+    this.lossWatch = tuning.noticesLoss ? new LossWatch(watch) : null;
+    const { lossWatch } = this;
+    const store = new StoreClient(settings.state, call, lossWatch ?? TRUSTING_EPOCH_CHECK);
+    const replica = new Replica(
+      ...([store, clock, log, settings.stateRps, lossWatch ?? TRUSTING_STATE_CHECK] as const),
+    );
     this.replica = replica;
     this.workers = new WorkerRegistry(settings);
     this.contact = new WorkerContact(settings);
-    this.freshness = new StateFreshness(replica, clock, settings.peers.length > 0);
-    const { member, domain } = settings;
+    this.freshness = new StateFreshness(replica, clock, settings.peers.length > 0, () => this.isStateWhole());
     const { incarnation, random } = parts;
     this.membership = new Membership(member, domain, incarnation, store, replica, clock, random, log);
     const { membership, workers } = this;
@@ -136,7 +159,6 @@
     this.runTimes = runTimes;
     const input = new RoundInput(settings, parts.tuning, clock, replica, workers, runTimes);
     const preemption = new Preemption(settings, clock, replica, workers, runTimes);
-    const { tuning } = parts;
     this.scheduler = new Scheduler({
       ...{ settings, tuning, random, replica, workers, input, preemption, log },
     });
@@ -163,7 +185,7 @@
     });
     this.handOver = new HandOver({
       ...{ clock, replica, membership, store: fencedStore, freshness: this.freshness },
-      allNodes: [member, ...settings.peers.map((peer) => peer.member)],
+      allNodes: this.allNodes,
     });
     this.peers = new PeerWatch(
       settings.peers,
@@ -176,8 +198,8 @@
           unreachable: unreachable.filter((name) => replica.members.has(name)),
         });
       },
-      (word) => {
-        this.hear(word);
+      (word, peer) => {
+        this.hear(word, peer);
       },
     );
     replica.onChange(wake);
@@ -218,6 +240,12 @@
     };
   }
 
+  /** What this node knows of lost state. */
+  lossReport(): NodeLossReport {
+    const { member } = this.parts.settings;
+    return { member, loss: this.lossWatch?.report() ?? null };
+  }
+
   /** Hands a duty over on purpose. */
   resign(duty: DutyName): Promise<HandOverResult> {
     return this.handOver.resign(duty);
@@ -237,7 +265,14 @@
   /** What this node tells its peers. */
   word(): PeerWord {
     const referred = this.contact.referrals(this.clock.now());
-    return { token: this.replica.token.value, served: this.freshness.isServed(), referred };
+    const served = this.freshness.isServed();
+    return { token: this.replica.token.value, served, referred, memory: this.toldMemory() };
+  }
+
+  /** What peers are told of this node's memory; nothing while a node of an older version may hear it. */
+  private toldMemory(): PeerMemory | null {
+    if (!this.lossWatch || !this.replica.allSupport(this.allNodes, 'memory')) return null;
+    return this.lossWatch.memory();
   }
 
   /**
@@ -254,6 +289,7 @@
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
     this.contact.heard();
+    this.lossWatch?.heardWorker(report);
     // Refused in the middle of a move, a worker would look for its owner elsewhere, a second for each node.
     if (this.isMoving(report.host)) await this.takenIn(MOVE_WAIT);
     const refusal = this.notEntitled(report);
@@ -276,7 +312,18 @@
       this.freshness.isServed(),
     );
     this.workers.answered(report.host, now);
-    return { status: 200, body: encodeReportAnswer({ token: this.replica.token.value, commands }) };
+    const allowed = this.isStateWhole() ? commands : commands.filter(isStop);
+    return { status: 200, body: encodeReportAnswer({ token: this.replica.token.value, commands: allowed }) };
+  }
+
+  /** Nothing contradicts what this node, its workers and its peers have seen of the state. */
+  private isStateWhole(): boolean {
+    return this.lossWatch?.isOpen() ?? true;
+  }
+
+  /** The worker's tasks were started by records that this copy doesn't have: told to end them, it would lose them. */
+  private isBehind(report: WorkerReport): boolean {
+    return this.lossWatch?.isAheadOf(this.replica.summary(), report) ?? false;
   }
 
   /** A round of this node lets the machine go at present, or is to take it. */
@@ -309,12 +356,14 @@
     if (entry.share === null || this.isLettingGo(report.host)) return unavailable('machine on the move');
     // A higher token than the highest known here: somebody else may own this by now.
     if (report.token > token.value || this.freshness.isOutdated()) return unavailable('superseded');
+    if (this.isBehind(report)) return unavailable('state behind the worker');
     return this.freshness.age() > renewalBound(this.parts.settings)
       ? unavailable('state not reachable')
       : null;
   }
 
-  private hear(word: PeerWord): void {
+  private hear(word: PeerWord, peer: string): void {
+    this.lossWatch?.heardPeer(peer, word);
     this.contact.expect(word.referred[this.parts.settings.member] ?? 0);
     this.freshness.hear(word);
   }
@@ -521,6 +570,10 @@
   }
 }
 
+function isStop(command: Command): boolean {
+  return command.kind === 'stop';
+}
+
 /** The share that a machine belongs to or, between two, is on its way to. */
 function shareOf({ share, destination }: MachineEntry): number | null {
   return share ?? (typeof destination === 'number' ? destination : null);
--- a/packages/daemon/freshness.ts
+++ b/packages/daemon/freshness.ts
@@ -20,6 +20,8 @@
     private readonly replica: Replica,
     private readonly clock: Clock,
     private readonly hasPeers: boolean,
+    /** What the state service shows is whole, as far as this node can tell. */
+    private readonly isWhole: () => boolean,
   ) {}
 
   /** Takes in what a peer tells. */
@@ -40,7 +42,7 @@
 
   /** The state is known to be recent enough for new starts. */
   isServed(): boolean {
-    return this.replica.state === 'following' && this.age() < START_FRESH;
+    return this.replica.state === 'following' && this.isWhole() && this.age() < START_FRESH;
   }
 
   /** Time since the state was last known to be complete. */
--- a/packages/daemon/links.test.ts
+++ b/packages/daemon/links.test.ts
@@ -7,12 +7,12 @@
 
 // The type of a ping and the names of its fields are checked by nothing but the sending of one.
 test('a ping over a real connection tells what the peer knows, and says when there is none', async () => {
-  const word: PeerWord = { token: 7, served: true, referred: { 'node-2': 3 } };
+  const word: PeerWord = { token: 7, served: true, referred: { 'node-2': 3 }, memory: null };
   const server = await servePings('127.0.0.1:0', () => word);
   const sockets: Socket[] = [];
   server.on('connection', (socket: Socket) => sockets.push(socket));
   const endpoint = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const ping = pingOver('node-1', () => ({ token: 1, served: false, referred: {} }));
+  const ping = pingOver('node-1', () => ({ token: 1, served: false, referred: {}, memory: null }));
   for (let i = 0; i < 2; i++) {
     assert.deepEqual(await ping(endpoint, 1000 * MS), { result: 'ok', word });
   }
--- a/packages/daemon/links.ts
+++ b/packages/daemon/links.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, Socket } from 'node:net';
 import { Transform, type TransformCallback } from 'node:stream';
 import avsc from 'avsc';
-import type { PeerWord, Ping, PingAnswer, PingResult } from '#cluster';
+import type { PeerMemory, PeerWord, Ping, PingAnswer, PingResult } from '#cluster';
 import { type Micros, splitAddress } from '#wire';
 
 /** What nodes say to each other. It only hastens: nothing is decided by it. */
@@ -17,6 +17,19 @@
   ],
 });
 
+/**
+ * What may follow a ping, once every node has announced `memory`: versions before that take anything after a ping for a
+ * broken message.
+ */
+const PING_EXTENSION = avsc.Type.forSchema({
+  type: 'record',
+  name: 'PingExtension',
+  fields: [
+    { name: 'epoch', type: 'long' },
+    { name: 'isContradicted', type: 'boolean' },
+  ],
+});
+
 interface PingMessage extends PeerWord {
   member: string;
   number: number;
@@ -48,8 +61,22 @@
   }
 }
 
+function encodePing(message: PingMessage): Buffer {
+  const { memory } = message;
+  const ping = PING.toBuffer(message);
+  return memory === null ? ping : Buffer.concat([ping, PING_EXTENSION.toBuffer(memory)]);
+}
+
+function decodePing(bytes: Buffer): PingMessage {
+  const { value, offset } = PING.decode(bytes, 0) as { value: Omit<PingMessage, 'memory'>; offset: number };
+  if (offset < 0) throw new Error('not a ping');
+  if (offset === bytes.length) return { ...value, memory: null };
+  const memory = PING_EXTENSION.fromBuffer(bytes.subarray(offset)) as PeerMemory;
+  return { ...value, memory };
+}
+
 function frame(message: PingMessage): Buffer {
-  const body = PING.toBuffer(message);
+  const body = encodePing(message);
   const head = Buffer.alloc(4);
   head.writeUInt32BE(body.length);
   return Buffer.concat([head, body]);
@@ -64,7 +91,7 @@
   frames.on('error', fail);
   frames.on('data', (bytes: Buffer) => {
     try {
-      take(PING.fromBuffer(bytes) as PingMessage);
+      take(decodePing(bytes));
     } catch {
       fail();
     }
@@ -131,8 +158,8 @@
     socket.on('close', lost);
     readMessages(socket, (message) => {
       if (message.number === this.waiting?.number) {
-        const { token, served, referred } = message;
-        this.waiting.done('ok', { token, served, referred });
+        const { token, served, referred, memory } = message;
+        this.waiting.done('ok', { token, served, referred, memory });
       }
     });
     socket.connect(splitAddress(this.endpoint));
--- a/packages/daemon/run-node.ts
+++ b/packages/daemon/run-node.ts
@@ -3,7 +3,7 @@
 import { randomBytes } from 'node:crypto';
 import { createApp, listen } from '#api';
 import type { Settings, Tuning } from '#settings';
-import { type Clock, httpCaller } from '#wire';
+import { type Clock, httpCaller, type Micros, MS, SECOND } from '#wire';
 import { pino, destination } from 'pino';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createOperatorApp, listenForOperators, OPERATOR_SOCKETS } from '#operations';
@@ -11,7 +11,7 @@
 import { pingOver, servePings } from './links.js';
 
 /** A planned stop takes no longer than this. */
-const RETIRE_PATIENCE_MS = 10_000;
+const RETIRE_PATIENCE: Micros = 10 * SECOND;
 
 function steadyClock(): Clock {
   return {
@@ -47,7 +47,7 @@
 /** Ends the process when it is asked to, once its duties are given up or that took too long. */
 function retireOnSignal(controller: Controller): void {
   process.once('SIGTERM', () => {
-    setTimeout(() => process.exit(0), RETIRE_PATIENCE_MS);
+    setTimeout(() => process.exit(0), RETIRE_PATIENCE / MS);
     void controller.retire().finally(() => process.exit(0));
   });
 }
@@ -60,6 +60,7 @@
   const app = createOperatorApp(
     {
       dutyReport: () => controller.dutyReport(),
+      lossReport: () => controller.lossReport(),
       resign: (duty) => controller.resign(duty),
     },
     report,
--- a/packages/operations/client.ts
+++ b/packages/operations/client.ts
@@ -1,7 +1,7 @@
 /** A client of the operators' listeners. */
 import { request } from 'node:http';
 import { splitAddress } from '#wire';
-import type { NodeDutyReport, ResignResult } from './messages.js';
+import type { NodeDutyReport, NodeLossReport, ResignResult } from './messages.js';
 
 /** What became of a request to one node. */
 export type NodeAnswer<T> =
@@ -17,6 +17,13 @@
   return Promise.all(nodes.map((node) => exchange<NodeDutyReport>(node, 'GET', '/duties', null, TIMEOUT_MS)));
 }
 
+/** Asks every node at the same time what it knows of lost state. */
+export function askLoss(nodes: readonly string[]): Promise<NodeAnswer<NodeLossReport>[]> {
+  return Promise.all(
+    nodes.map((node) => exchange<NodeLossReport>(node, 'GET', '/recovery', null, TIMEOUT_MS)),
+  );
+}
+
 export function askToResign(node: string, duty: string): Promise<NodeAnswer<ResignResult>> {
   return exchange<ResignResult>(node, 'POST', '/duties/resign', { duty }, RESIGN_TIMEOUT_MS);
 }
--- a/packages/operations/listener.ts
+++ b/packages/operations/listener.ts
@@ -74,11 +74,15 @@
     if (method !== 'GET') throw new BadRequest(405, 'use GET');
     return { status: 200, body: node.dutyReport() };
   }
+  if (path === '/recovery') {
+    if (method !== 'GET') throw new BadRequest(405, 'use GET');
+    return { status: 200, body: node.lossReport() };
+  }
   if (path === '/duties/resign') {
     if (method !== 'POST') throw new BadRequest(405, 'use POST');
     return resign(node, await readJson(request));
   }
-  throw new BadRequest(404, 'no such path; there are /duties and /duties/resign');
+  throw new BadRequest(404, 'no such path; there are /duties, /duties/resign and /recovery');
 }
 
 async function resign(node: OperatedNode, body: unknown): Promise<JsonAnswer> {
--- a/packages/operations/messages.ts
+++ b/packages/operations/messages.ts
@@ -1,5 +1,6 @@
 /** What the operators' listener and its clients exchange, as JSON. */
 import type { DutyName, DutyReport } from '#duties';
+import type { LossReport } from '#recovery';
 
 /** A node's view of the duties; it counts as proof for nothing. */
 export interface NodeDutyReport {
@@ -11,6 +12,13 @@
   duties: DutyReport[];
 }
 
+/** What a node knows of lost state. */
+export interface NodeLossReport {
+  member: string;
+  /** Null where the operators' settings don't switch it on. */
+  loss: LossReport | null;
+}
+
 export type ResignResult = { kind: 'handed_over' } | { kind: 'refused'; reason: string };
 
 export interface OperatorError {
@@ -20,5 +28,6 @@
 /** What the listener needs of its node. */
 export interface OperatedNode {
   dutyReport(): NodeDutyReport;
+  lossReport(): NodeLossReport;
   resign(duty: DutyName): Promise<ResignResult>;
 }
--- a/packages/settings/operator.ts
+++ b/packages/settings/operator.ts
@@ -21,6 +21,8 @@
   operatorListen: string | null;
   /** Duties are handed over when the process is asked to end (SIGTERM). */
   handsOverOnStop: boolean;
+  /** What the state service shows is compared with what was seen before; nothing is done while it has lost some. */
+  noticesLoss: boolean;
 }
 
 interface Knob {
@@ -47,7 +49,7 @@
 ];
 
 export function standardTuning(): Tuning {
-  const tuning = { operatorListen: null, handsOverOnStop: false } as Tuning;
+  const tuning = { operatorListen: null, handsOverOnStop: false, noticesLoss: false } as Tuning;
   for (const k of KNOBS) k.set(tuning, k.standard);
   return tuning;
 }
@@ -74,31 +76,32 @@
     k.set(tuning, value);
   }
   tuning.operatorListen = listenAddress(root);
-  tuning.handsOverOnStop = flagAt(root, 'handOverOnStop');
+  tuning.handsOverOnStop = flagAt(root, 'operations', 'handOverOnStop');
+  tuning.noticesLoss = flagAt(root, 'recovery', 'noticeLoss');
   return tuning;
 }
 
 const LISTEN_PATH = 'operations/listen';
 const PORT_MOST = 65_535;
 
-/** An element below `operations`; undefined if the file doesn't have it. */
-function operationsElement(root: unknown, name: string): unknown {
-  const operations = (root as Record<string, unknown>)['operations'];
-  if (typeof operations !== 'object' || operations === null) return undefined;
-  return (operations as Record<string, unknown>)[name];
+/** An element below a section of the file; undefined if the file doesn't have it. */
+function elementAt(root: unknown, sectionName: string, name: string): unknown {
+  const section = (root as Record<string, unknown>)[sectionName];
+  if (typeof section !== 'object' || section === null) return undefined;
+  return (section as Record<string, unknown>)[name];
 }
 
-/** A flag below `operations`; off if the file doesn't have it. */
-function flagAt(root: unknown, name: string): boolean {
-  const text = operationsElement(root, name);
+/** A flag below a section; off if the file doesn't have it. */
+function flagAt(root: unknown, section: string, name: string): boolean {
+  const text = elementAt(root, section, name);
   if (text === undefined || text === 'false') return false;
   if (text === 'true') return true;
-  throw new SettingsError(`operators' file: operations/${name}: must be true or false`);
+  throw new SettingsError(`operators' file: ${section}/${name}: must be true or false`);
 }
 
 /** The address of the operators' listener, if the file names one. */
 function listenAddress(root: unknown): string | null {
-  const address = operationsElement(root, 'listen');
+  const address = elementAt(root, 'operations', 'listen');
   if (address === undefined) return null;
   const match =
     typeof address === 'string' ? /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(address.trim()) : null;
--- a/packages/store/index.ts
+++ b/packages/store/index.ts
@@ -1,5 +1,7 @@
+import { type EpochCheck, TRUSTING_EPOCH_CHECK } from './epoch-check.js';
 import { type Caller, type Count, type Fields, isFields, type Method, type Micros, MS, SECOND } from '#wire';
 
+export * from './epoch-check.js';
 export * from './pace.js';
 export * from './write-limits.js';
 
@@ -49,22 +51,30 @@
 }
 
 const TIMEOUT: Micros = 1500 * MS;
+/** What a node that is not to use the state service gets instead of an answer: the same as one that it refuses. */
+const UNAVAILABLE = 503;
+/** Never written: reading it costs one request and tells the present epoch. */
+export const NEVER_WRITTEN = 'mw/nothing';
 
 export class StoreClient {
   constructor(
     private readonly endpoint: string,
     private readonly call: Caller,
+    private readonly check: EpochCheck = TRUSTING_EPOCH_CHECK,
   ) {}
 
   /** The row, or null with the epoch at which the key did not exist. */
   async get(path: string): Promise<{ row: Row | null; epoch: number }> {
+    const floor = this.openFloor();
     const { status, body } = await this.send('GET', `/store/${path}`);
-    if (status === 404) return { row: null, epoch: Number(body['Epoch']) };
+    if (status === 404) return { row: null, epoch: this.accepted(floor, Number(body['Epoch'])) };
     if (status !== 200) throw new StoreError(status);
+    // The row's own revision says nothing of the present epoch.
     const row = { path, value: fieldsOf(body['V']), revision: Number(body['Stamp']) };
     return { row, epoch: row.revision };
   }
 
+  /** One page of rows. Its epoch is judged by whoever reads the state anew, also while all else is refused. */
   async list(prefix: string, after: string): Promise<{ rows: Row[]; more: boolean; epoch: number }> {
     const query = `Starts=${prefix}${after === '' ? '' : `&After=${after}`}&Limit=1000`;
     const { status, body } = await this.send('GET', `/store?${query}`, undefined, 4 * SECOND);
@@ -86,6 +96,8 @@
           : { Set: w.set, V: w.value, ...(w.leaseId === undefined ? {} : { Permit: w.leaseId }) },
       ),
     };
+    if (!this.check.isOpen()) return { kind: 'not_executed', status: UNAVAILABLE };
+    const floor = this.check.floor();
     let reply;
     try {
       reply = await this.send('POST', '/commit', body);
@@ -93,6 +105,10 @@
       return { kind: 'unknown' };
     }
     const epoch = Number(reply.body['Epoch']);
+    // Otherwise it did not become part of the history that this node knows, whatever became of it.
+    const makesEpoch = reply.status === 200 && writes.some((write) => 'set' in write);
+    if (makesEpoch && !this.check.acceptsNew(floor, epoch)) return { kind: 'unknown' };
+    if (reply.status === 409 && !this.check.accepts(floor, epoch)) return { kind: 'unknown' };
     if (reply.status === 200) return { kind: 'applied', epoch };
     if (reply.status === 409) {
       const failed = Array.isArray(reply.body['failed']) ? reply.body['failed'].map(String) : [];
@@ -104,6 +120,7 @@
   }
 
   async createLease(life: Micros): Promise<Count> {
+    this.openFloor();
     const { status, body } = await this.send('POST', '/grants', { LifeMs: Math.round(life / MS) });
     if (status !== 200) throw new StoreError(status);
     return body['Permit'] as Count;
@@ -111,8 +128,9 @@
 
   /** False: the grant has ended. */
   async renew(leaseId: Count): Promise<boolean> {
+    this.openFloor();
     const { status } = await this.send('POST', `/grants/${leaseId}/renew`);
-    if (status === 404) return false;
+    if (status === 404) return this.confirmEnd();
     if (status !== 200) throw new StoreError(status);
     return true;
   }
@@ -127,6 +145,7 @@
     after: number,
     block: Micros,
   ): Promise<{ epoch: number; news: Change[] } | null> {
+    const floor = this.openFloor();
     const query = `Starts=${prefix}&After=${after}&BlockMs=${Math.round(block / MS)}`;
     const { status, body } = await this.send('GET', `/follow?${query}`, undefined, block + 4 * SECOND);
     if (status === 410) return null;
@@ -138,7 +157,27 @@
           ? { path: String(n['Remove']), revision: Number(n['Stamp']), value: null }
           : { path: String(n['Set']), revision: Number(n['Stamp']), value: fieldsOf(n['V']) },
       );
-    return { epoch: Number(body['Epoch']), news };
+    return { epoch: this.accepted(floor, Number(body['Epoch'])), news };
+  }
+
+  /**
+   * A grant that is gone has ended, or was lost with the rest of the state. What hangs on a lost one is not free: the
+   * present epoch tells the two apart.
+   */
+  private async confirmEnd(): Promise<false> {
+    if (this.check !== TRUSTING_EPOCH_CHECK) await this.get(NEVER_WRITTEN);
+    return false;
+  }
+
+  /** The floor that an answer to a request sent now has to reach; throws while the state service isn't to be asked. */
+  private openFloor(): number {
+    if (!this.check.isOpen()) throw new StoreError(UNAVAILABLE);
+    return this.check.floor();
+  }
+
+  private accepted(floor: number, epoch: number): number {
+    if (!this.check.accepts(floor, epoch)) throw new StoreError(UNAVAILABLE);
+    return epoch;
   }
 
   private async send(method: Method, path: string, body?: unknown, timeout: Micros = TIMEOUT) {
--- a/packages/testkit/sim-store.ts
+++ b/packages/testkit/sim-store.ts
@@ -8,6 +8,14 @@
   leaseId: number | null;
 }
 
+/** All that the state service held at one epoch. */
+export interface StoreBackup {
+  rows: ReadonlyMap<string, Row>;
+  /** How long each grant lives. */
+  grants: ReadonlyMap<number, Micros>;
+  epoch: number;
+}
+
 interface StoreLimits {
   rps: number;
   writeRps: number;
@@ -53,6 +61,9 @@
   beforeApply: (guards: Fields[], writes: Fields[]) => void = () => undefined;
   /** Called with every transaction that was applied. */
   afterApply: (writes: Fields[]) => void = () => undefined;
+  /** What it shows is not what was committed: see {@link restore}. */
+  hasLost = false;
+  private newest = 0;
   private readonly grants = new Map<number, { life: Micros; until: Micros }>();
   private nextGrant = 1;
   private history: { path: string; value: Fields | null; revision: number }[] = [];
@@ -105,6 +116,48 @@
     this.wakeWatches();
   }
 
+  backup(): StoreBackup {
+    const grants = new Map([...this.grants].map(([id, { life }]) => [id, life]));
+    return { rows: new Map(this.rows), grants, epoch: this.epoch };
+  }
+
+  /** Holds what it held at the backup, and knows nothing of what was committed since; grants get their full time. */
+  restore({ rows, grants, epoch }: StoreBackup): void {
+    if (!this.hasLost) this.newest = this.epoch;
+    this.hasLost = epoch < this.newest;
+    this.rows.clear();
+    for (const [path, row] of rows) this.rows.set(path, row);
+    this.grants.clear();
+    for (const [id, life] of grants) this.grants.set(id, { life, until: this.clock.time + life });
+    this.epoch = epoch;
+    this.history = this.history.filter(({ revision }) => revision <= epoch);
+  }
+
+  /** Loses everything, as one that was set up anew. */
+  wipe(): void {
+    this.restore({ rows: new Map(), grants: new Map(), epoch: 0 });
+  }
+
+  /** Loses some keys; open watches are told of it, or nobody is. */
+  lose(isLost: (path: string) => boolean, isTold: boolean): string[] {
+    const lost = [...this.rows.keys()].filter(isLost);
+    if (isTold) this.epoch++;
+    for (const path of lost) {
+      if (isTold) this.drop(path);
+      else this.rows.delete(path);
+    }
+    this.wakeWatches();
+    return lost;
+  }
+
+  /** Puts lost keys back as they were, under their own revisions. */
+  bringBack({ rows }: StoreBackup, paths: Iterable<string>): void {
+    for (const path of paths) {
+      const row = rows.get(path);
+      if (row) this.rows.set(path, row);
+    }
+  }
+
   private route(from: string, method: Method, path: string, body: unknown): Served | Promise<Served> {
     const url = new URL(path, 'http://state');
     const fields = isFields(body) ? body : {};
--- a/packages/testkit/sim-world.ts
+++ b/packages/testkit/sim-world.ts
@@ -1,6 +1,16 @@
 import { Controller } from '#daemon';
-import { CHECKPOINT_HEAD, chunkKey, CHUNKS, LEAD, type Ledger, type Logger, LOGS, type Ping } from '#cluster';
-import { type Settings, standardTuning } from '#settings';
+import {
+  CHECKPOINT_HEAD,
+  chunkKey,
+  CHUNKS,
+  LEAD,
+  type Ledger,
+  type Logger,
+  LOGS,
+  type PeerMemory,
+  type Ping,
+} from '#cluster';
+import { type Settings, standardTuning, type Tuning } from '#settings';
 import {
   type Caller,
   decodeJobStatus,
@@ -107,6 +117,8 @@
   log?: Logger;
   /** What this deployment has other than the sample's. */
   settings?: Partial<Settings>;
+  /** What its operators have turned. */
+  tuning?: Partial<Tuning>;
   types?: readonly MachineType[];
   /** How many machines a type, zone and kind holds. */
   capacity?: number;
@@ -171,6 +183,8 @@
       this.history.beforeCommit(guards, writes);
     };
     this.store.afterApply = (writes) => {
+      // What is written to another history is in no record of this one.
+      if (this.store.hasLost) return;
       this.history.afterCommit(writes, this.store.epoch);
       this.agreement.applied(writes);
       this.checkCheckpoint(writes);
@@ -259,7 +273,7 @@
     const Version = old ? old.version.Controller : Controller;
     const controller = new Version({
       settings: old ? { ...settings, ...old.settings } : settings,
-      tuning: standardTuning(),
+      tuning: { ...standardTuning(), ...this.options.tuning },
       clock: this.clock.view(gate, drift, wallOff),
       random: this.random,
       incarnation: `i${++this.starts}`,
@@ -272,8 +286,8 @@
     const awake = (): Promise<void> => new Promise(gate);
     this.net.serve(settings.clusterListen, settings.domain, async () => {
       await awake();
-      const { token, served, referred } = controller.word();
-      return { status: 200, body: { Token: token, Served: served, Referred: referred } };
+      const { token, served, referred, memory } = controller.word();
+      return { status: 200, body: { Token: token, Served: served, Referred: referred, Memory: memory } };
     });
     this.net.serve(settings.bind, settings.domain, async (_from, method, path, body) => {
       await awake();
@@ -372,7 +386,9 @@
 
   /** Once for each epoch: a node's copy changes with nothing else. */
   private checkAgreement(): void {
-    const { epoch } = this.store;
+    const { epoch, hasLost } = this.store;
+    // Epochs of another history: those of the copies that are compared name other commits.
+    if (hasLost) return;
     const copies = this.nodes.flatMap((n) => (n.controller ? [n.controller.stateCopy()] : []));
     const current = copies.filter((c) => c.applied === epoch && this.checkedAt.get(c.ledger) !== epoch);
     for (const { ledger } of current) this.checkedAt.set(ledger, epoch);
@@ -465,6 +481,7 @@
             token: Number(reply.body['Token']),
             served: reply.body['Served'] === true,
             referred: (reply.body['Referred'] ?? {}) as Record<string, number>,
+            memory: (reply.body['Memory'] ?? null) as PeerMemory | null,
           },
         }),
         (cause: unknown) => ({
