--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -6,6 +6,8 @@
 import { CommandError, USAGE_EXIT } from './errors.js';
 import { showJob, submitJob, withdrawJob } from './jobs.js';
 import type { Print } from './output.js';
+import { type RecoverStatusOptions, showRecoverStatus } from './recover.js';
+import { showSnapshot, type SnapshotOptions, takeSnapshot, verifySnapshot } from './snapshot.js';
 import { checkSettings, type SettingsFiles } from './settings.js';
 
 const PACKAGE = new URL('../../package.json', import.meta.url);
@@ -53,6 +55,8 @@
     .action((files: SettingsFiles) => checkSettings(files, print));
   addJobCommands(program, print);
   addDutyCommands(program, print);
+  addRecoverCommands(program, print);
+  addSnapshotCommands(program, print);
   return program;
 }
 
@@ -90,6 +94,35 @@
     .action((duty: string, { node }: { node: string }) => resignDuty(duty, node, print));
 }
 
+function addRecoverCommands(program: Command, print: Print): void {
+  const recover = program.command('recover').description('watch for, and recover from, lost state');
+  recover
+    .command('status')
+    .description('tell whether the state service has lost data; exit code 1 if it has')
+    .option('--node <address...>', "operators' listener of one or more nodes", [DEFAULT_OPERATOR_NODE])
+    .option('--json', 'print JSON', false)
+    .action((options: RecoverStatusOptions) => showRecoverStatus(options, print));
+}
+
+function addSnapshotCommands(program: Command, print: Print): void {
+  const snapshot = program
+    .command('snapshot <file>')
+    .enablePositionalOptions()
+    .description("write the state as a node's copy holds it to a file")
+    .option(NODE_OPTION, "operators' listener of the node", DEFAULT_OPERATOR_NODE)
+    .option('--force', 'replace the file', false)
+    .action((file: string, options: SnapshotOptions) => takeSnapshot(file, options, print));
+  snapshot
+    .command('verify <file>')
+    .description('tell whether a snapshot is whole; exit code 1 if not')
+    .action((file: string) => verifySnapshot(file, print));
+  snapshot
+    .command('show <file>')
+    .description('tell what a snapshot holds')
+    .option('--json', 'print JSON', false)
+    .action((file: string, options: { json: boolean }) => showSnapshot(file, options, print));
+}
+
 /** Runs one command; the exit code. Errors go out as one line. */
 export async function execute(args: readonly string[], print: Print, complain: Print): Promise<number> {
   try {
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -243,6 +243,13 @@
     return this.knownFinal(id);
   }
 
+  /** A page of what became of jobs that are over, in the order of their names; nothing while the state is not believed. */
+  async finalsAfter(id: string): Promise<{ id: string; status: Final }[]> {
+    if (!this.check.isOpen()) throw new StoreError(0);
+    const { rows } = await this.store.list(OVER, id === '' ? '' : overKey(id));
+    return rows.map(({ path, value }) => ({ id: path.slice(OVER.length), status: decodeFinal(value) }));
+  }
+
   knownFinal(id: string): Final | null {
     return this.ended.get(id)?.status ?? this.finals.get(id) ?? null;
   }
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -21,7 +21,7 @@
   WorkerContact,
 } from '#cluster';
 import type { NodeDutyReport, NodeLossReport } from '#operations';
-import { LossWatch } from '#recovery';
+import { LossWatch, writeSnapshot } from '#recovery';
 import type { Settings, Tuning } from '#settings';
 import { Pace, StoreClient, TRUSTING_EPOCH_CHECK, WriteLimits } from '#store';
 import {
@@ -84,6 +84,8 @@
 const URGENT_FILL = 0.6;
 /** How long a worker or peer that has fallen silent is believed to have seen more than the state service shows. */
 const CLAIM_LIFE: Micros = 60 * SECOND;
+/** Time between two pages of final answers that a snapshot reads: rounds and users come first. */
+const SNAPSHOT_PAGE_GAP: Micros = 250 * MS;
 /** A round starts no sooner than so many times its planning after the one before. */
 const PLAN_REST = 4;
 
@@ -246,6 +248,20 @@
     return { member, loss: this.lossWatch?.report() ?? null };
   }
 
+  /** The state as this node's copy holds it now, for a file of the operators; null while there is no copy. */
+  snapshot(): AsyncIterable<string> | null {
+    const { replica, allNodes, clock } = this;
+    if (replica.applied === 0) return null;
+    const { member } = this.parts.settings;
+    const takenAt = Math.floor(clock.wall() / MS);
+    const loss = this.lossWatch?.report().state ?? null;
+    const finals = async (after: string): ReturnType<Replica['finalsAfter']> => {
+      if (after !== '') await sleep(clock, SNAPSHOT_PAGE_GAP);
+      return replica.finalsAfter(after);
+    };
+    return writeSnapshot(replica, { member, nodes: [...allNodes], takenAt, loss }, finals);
+  }
+
   /** Hands a duty over on purpose. */
   resign(duty: DutyName): Promise<HandOverResult> {
     return this.handOver.resign(duty);
--- a/packages/daemon/run-node.ts
+++ b/packages/daemon/run-node.ts
@@ -61,6 +61,7 @@
     {
       dutyReport: () => controller.dutyReport(),
       lossReport: () => controller.lossReport(),
+      snapshot: () => controller.snapshot(),
       resign: (duty) => controller.resign(duty),
     },
     report,
--- a/packages/operations/client.ts
+++ b/packages/operations/client.ts
@@ -1,5 +1,5 @@
 /** A client of the operators' listeners. */
-import { request } from 'node:http';
+import { type IncomingMessage, request } from 'node:http';
 import { splitAddress } from '#wire';
 import type { NodeDutyReport, NodeLossReport, ResignResult } from './messages.js';
 
@@ -28,6 +28,21 @@
   return exchange<ResignResult>(node, 'POST', '/duties/resign', { duty }, RESIGN_TIMEOUT_MS);
 }
 
+/** The lines of a node's snapshot; fails with what the node says if it has none. */
+export async function openSnapshot(node: string): Promise<IncomingMessage> {
+  const response = await new Promise<IncomingMessage>((resolve, reject) => {
+    const call = request({ ...splitAddress(node), path: '/snapshot', timeout: TIMEOUT_MS }, resolve);
+    call.on('timeout', () => call.destroy(new Error('no answer in time')));
+    call.on('error', reject);
+    call.end();
+  });
+  if (response.statusCode === 200) return response;
+  const chunks: Buffer[] = [];
+  for await (const chunk of response) chunks.push(chunk as Buffer);
+  const value = parse(Buffer.concat(chunks).toString('utf8'));
+  throw new Error(String(value?.['error'] ?? `answered with status ${response.statusCode}`));
+}
+
 function exchange<T>(
   node: string,
   method: string,
--- a/packages/operations/listener.ts
+++ b/packages/operations/listener.ts
@@ -3,6 +3,7 @@
  * connections of its own and can't take any from workers and users; nothing that it says counts as proof.
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { Readable } from 'node:stream';
 import Koa from 'koa';
 import { parseDutyName } from '#duties';
 import { splitAddress } from '#wire';
@@ -14,7 +15,8 @@
 /** A client that sends nothing for so long is cut off. */
 const IDLE_MS = 10_000;
 
-interface JsonAnswer {
+/** The body is sent as JSON, or as it is if it is a stream. */
+interface OperatorAnswer {
   status: number;
   body: object;
 }
@@ -69,7 +71,7 @@
   method: string,
   path: string,
   request: IncomingMessage,
-): Promise<JsonAnswer> {
+): Promise<OperatorAnswer> {
   if (path === '/duties') {
     if (method !== 'GET') throw new BadRequest(405, 'use GET');
     return { status: 200, body: node.dutyReport() };
@@ -78,14 +80,20 @@
     if (method !== 'GET') throw new BadRequest(405, 'use GET');
     return { status: 200, body: node.lossReport() };
   }
+  if (path === '/snapshot') {
+    if (method !== 'GET') throw new BadRequest(405, 'use GET');
+    const lines = node.snapshot();
+    if (lines === null) throw new BadRequest(503, 'this node holds no copy of the state yet');
+    return { status: 200, body: Readable.from(lines, { objectMode: false }) };
+  }
   if (path === '/duties/resign') {
     if (method !== 'POST') throw new BadRequest(405, 'use POST');
     return resign(node, await readJson(request));
   }
-  throw new BadRequest(404, 'no such path; there are /duties, /duties/resign and /recovery');
+  throw new BadRequest(404, 'no such path; there are /duties, /duties/resign, /recovery and /snapshot');
 }
 
-async function resign(node: OperatedNode, body: unknown): Promise<JsonAnswer> {
+async function resign(node: OperatedNode, body: unknown): Promise<OperatorAnswer> {
   const name = isObject(body) ? body['duty'] : undefined;
   const duty = typeof name === 'string' ? parseDutyName(name) : null;
   if (duty === null) throw new BadRequest(400, 'duty: must be lead or share/N');
@@ -117,7 +125,7 @@
   return typeof value === 'object' && value !== null;
 }
 
-function failure(status: number, error: string): JsonAnswer {
+function failure(status: number, error: string): OperatorAnswer {
   const body: OperatorError = { error };
   return { status, body };
 }
--- a/packages/operations/messages.ts
+++ b/packages/operations/messages.ts
@@ -29,5 +29,7 @@
 export interface OperatedNode {
   dutyReport(): NodeDutyReport;
   lossReport(): NodeLossReport;
+  /** The lines of a snapshot, as text; null while the node holds no copy of the state. */
+  snapshot(): AsyncIterable<string> | null;
   resign(duty: DutyName): Promise<ResignResult>;
 }
--- /dev/null
+++ b/packages/testkit/lost-state-random.test.ts
@@ -0,0 +1,63 @@
+/** Seeded random runs in which the state service loses data beside the other troubles, and some in which it doesn't. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SECOND } from '#wire';
+import { trouble } from './random-troubles.js';
+import { finish, lossOf, watchfulWorld } from './watchful-world.js';
+
+const [FROM, RUNS] = [Number(process.env['LOST_FROM'] ?? 1), Number(process.env['LOST_RUNS'] ?? 6)];
+for (let seed = FROM; seed < FROM + RUNS; seed++) {
+  test(`state that is lost and brought back again beside random troubles, seed ${seed}`, async () => {
+    const world = watchfulWorld({ seed: 700 + seed });
+    const { random, clock, store } = world;
+    let losses = 0;
+    let isBack = true;
+    const harm = (): void => {
+      if (clock.time > 130 * SECOND) return;
+      if (isBack) trouble(world);
+      clock.at((4 + random() * 20) * SECOND, harm);
+    };
+    const lose = (): void => {
+      if (clock.time > 120 * SECOND) return;
+      const old = store.backup();
+      clock.at((1 + random() * 10) * SECOND, () => {
+        const whole = store.backup();
+        if (whole.epoch === old.epoch) return;
+        losses++;
+        isBack = false;
+        if (random() < 0.4) store.wipe();
+        else store.restore(old);
+        clock.at((1 + random() * 20) * SECOND, () => {
+          store.restore(whole);
+          isBack = true;
+        });
+      });
+      clock.at((35 + random() * 10) * SECOND, lose);
+    };
+    clock.at(20 * SECOND, harm);
+    clock.at(25 * SECOND, lose);
+    await world.run(160 * SECOND);
+    assert.ok(losses > 1, `only ${losses} losses`);
+    await finish(world);
+  });
+}
+
+for (let seed = FROM; seed < FROM + Math.ceil(RUNS / 3); seed++) {
+  test(`random troubles alone raise no alarm, seed ${seed}`, async () => {
+    const world = watchfulWorld({ seed: 800 + seed });
+    const { random, clock } = world;
+    const harm = (): void => {
+      if (clock.time > 130 * SECOND) return;
+      trouble(world);
+      clock.at((4 + random() * 10) * SECOND, harm);
+    };
+    clock.at(20 * SECOND, harm);
+    await world.run(160 * SECOND);
+    await finish(world);
+    const alarms = [...Array(world.nodeCount).keys()].map((i) => lossOf(world, i).falseAlarms);
+    assert.deepEqual(
+      alarms,
+      alarms.map(() => 0),
+    );
+  });
+}
