Lost state: a node without memory hears of it from peers that have it from workers only; real processes lose their state

Change: in an alarm peers are told the highest token that workers have seen, in the field that there is, and that what this node knows at first hand contradicts the state; a node that remembers nothing believes any such objection. What comes from a peer only is not told on. A node reads the state for the first time once it has listened (it had read it four times a second meanwhile). Backups of the stand-in store hold the changes for watches. Loopback: state deleted under real controllers, one of them killed and started meanwhile. Tidied: answers.ts for the commands that ask several nodes.

--- a/packages/cli/duties.ts
+++ b/packages/cli/duties.ts
@@ -2,29 +2,17 @@
 import { type DutyReport, parseDutyName } from '#duties';
 import { askDuties, askToResign, type NodeAnswer, type NodeDutyReport } from '#operations';
 import { checkAddress } from './address.js';
+import { demandAnswer, type NodeAnswers, type NodesOptions, printSilent, sortAnswers } from './answers.js';
 import { failure, usageError } from './errors.js';
 import { formatTable, type Print, printJson } from './output.js';
 
-export interface DutiesOptions {
-  node: string[];
-  json: boolean;
-}
-
-/** The stable form of `--json`. */
-interface DutiesJson {
-  nodes: (NodeDutyReport & { node: string })[];
-  silent: { node: string; reason: string }[];
-}
-
 const HEADING = ['NODE', 'DUTY', 'STATE', 'HOLDER', 'TERM', 'SINCE', 'LEASE', 'OPEN', 'LAST REFUSED'];
 
-export async function showDuties({ node, json }: DutiesOptions, print: Print): Promise<void> {
-  const answers = await askDuties(node.map(checkAddress));
-  const answered = answers.flatMap((a) => (a.kind === 'answered' ? [{ node: a.node, ...a.value }] : []));
-  const silent = answers.flatMap((a) => (a.kind === 'silent' ? [{ node: a.node, reason: a.reason }] : []));
-  if (json) printJson(print, { nodes: answered, silent } satisfies DutiesJson);
-  else printTable(answered, silent, print);
-  if (answered.length === 0) throw failure('no node answered; is operations/listen set in their XML?');
+export async function showDuties({ node, json }: NodesOptions, print: Print): Promise<void> {
+  const answers = sortAnswers(await askDuties(node.map(checkAddress)));
+  if (json) printJson(print, answers);
+  else printTable(answers, print);
+  demandAnswer(answers);
 }
 
 export async function resignDuty(name: string, node: string, print: Print): Promise<void> {
@@ -37,14 +25,15 @@
   print(`${name} was handed over`);
 }
 
-function printTable(nodes: DutiesJson['nodes'], silent: DutiesJson['silent'], print: Print): void {
+function printTable(answers: NodeAnswers<NodeDutyReport>, print: Print): void {
+  const { nodes } = answers;
   const rows = nodes.flatMap((report) => report.duties.map((duty) => rowOf(report.member, duty)));
   for (const line of formatTable([HEADING, ...rows])) print(line);
   for (const { member, knowledgeAgeS, membership } of nodes) {
     const age = knowledgeAgeS === null ? 'never complete' : `${knowledgeAgeS} s old`;
     print(`${member}: ${membership}; what it knows is ${age}`);
   }
-  for (const { node, reason } of silent) print(`${node}: no answer (${reason})`);
+  printSilent(answers, print);
 }
 
 function rowOf(member: string, duty: DutyReport): string[] {
--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -2,11 +2,12 @@
 import { readFileSync } from 'node:fs';
 import { Command, CommanderError } from 'commander';
 import { loadSettings, loadTuning, SettingsError, standardTuning } from '#settings';
-import { type DutiesOptions, resignDuty, showDuties } from './duties.js';
+import type { NodesOptions } from './answers.js';
+import { resignDuty, showDuties } from './duties.js';
 import { CommandError, USAGE_EXIT } from './errors.js';
 import { showJob, submitJob, withdrawJob } from './jobs.js';
 import type { Print } from './output.js';
-import { type RecoverStatusOptions, showRecoverStatus } from './recover.js';
+import { showRecoverStatus } from './recover.js';
 import { showSnapshot, type SnapshotOptions, takeSnapshot, verifySnapshot } from './snapshot.js';
 import { checkSettings, type SettingsFiles } from './settings.js';
 
@@ -86,7 +87,7 @@
     .description('show who holds each duty that one controller may hold at a time')
     .option('--node <address...>', "operators' listener of one or more nodes", [DEFAULT_OPERATOR_NODE])
     .option('--json', 'print JSON', false)
-    .action((options: DutiesOptions) => showDuties(options, print));
+    .action((options: NodesOptions) => showDuties(options, print));
   duties
     .command('resign <duty>')
     .description('have the node that holds a duty (lead or share/N) hand it over')
@@ -101,7 +102,7 @@
     .description('tell whether the state service has lost data; exit code 1 if it has')
     .option('--node <address...>', "operators' listener of one or more nodes", [DEFAULT_OPERATOR_NODE])
     .option('--json', 'print JSON', false)
-    .action((options: RecoverStatusOptions) => showRecoverStatus(options, print));
+    .action((options: NodesOptions) => showRecoverStatus(options, print));
 }
 
 function addSnapshotCommands(program: Command, print: Print): void {
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -95,6 +95,7 @@
 /** Time between two readings of all live state while it is not believed, and how many lost keys each looks for. */
 const JUDGE_GAP: Micros = SECOND;
 const KEYS_SOUGHT = 20;
+const READY_STEP: Micros = 50 * MS;
 const NO_CHECKPOINT = { id: '', positions: {}, chunks: 0, revision: 0 };
 
 /**
@@ -175,6 +176,7 @@
   }
 
   async run(): Promise<void> {
+    while (!this.check.isReady()) await sleep(this.clock, READY_STEP);
     while (!this.stopped()) {
       try {
         if (this.state === 'loading' || !this.check.isOpen()) await this.load();
--- a/packages/cluster/state-check.ts
+++ b/packages/cluster/state-check.ts
@@ -35,6 +35,8 @@
 /** Judges what the state service shows. While it is closed a copy stays as it is and reads all live state anew. */
 export interface StateCheck {
   isOpen(): boolean;
+  /** False for a while after the start: what would tell of a loss has yet to be heard, and no reading is of use. */
+  isReady(): boolean;
   /** Has this called whenever the check closes. */
   onClose(listener: () => void): void;
   /** The highest epoch that any answer has shown. */
@@ -56,6 +58,7 @@
 /** Believes whatever is shown. */
 export const TRUSTING_STATE_CHECK: StateCheck = {
   isOpen: () => true,
+  isReady: () => true,
   onClose: () => undefined,
   floor: () => 0,
   judge: () => true,
--- a/packages/daemon/controller.ts
+++ b/packages/daemon/controller.ts
@@ -282,7 +282,9 @@
   word(): PeerWord {
     const referred = this.contact.referrals(this.clock.now());
     const served = this.freshness.isServed();
-    return { token: this.replica.token.value, served, referred, memory: this.toldMemory() };
+    const { value } = this.replica.token;
+    const token = this.lossWatch?.toldToken(value) ?? value;
+    return { token, served, referred, memory: this.toldMemory() };
   }
 
   /** What peers are told of this node's memory; nothing while a node of an older version may hear it. */
--- a/packages/recovery/loss-watch.ts
+++ b/packages/recovery/loss-watch.ts
@@ -14,8 +14,11 @@
 const INCOMPLETE_READINGS = 3;
 /** Beyond the time between two reports, for those that look for another node first. */
 const LISTEN_MARGIN: Micros = SECOND;
-/** Begins the source of what this node has seen itself. */
+/** Begin the sources of what this node has seen itself, and of what peers tell. */
 const OWN = 'own';
+const PEER = 'peer';
+/** Below every epoch: a node that remembers nothing believes any objection. */
+const NOTHING_KNOWN = -1;
 /** Contradictions that are kept and shown. */
 const EVIDENCE_KEPT = 20;
 
@@ -57,6 +60,16 @@
     return this.state === 'serving';
   }
 
+  /**
+   * A node that has just started remembers nothing. Before it believes the state, it hears every peer or, where some have
+   * just started themselves, gives the workers the time to report.
+   */
+  isReady(): boolean {
+    const { clock, peerCount, reportInterval } = this.parts;
+    if (peerCount > 0 && this.rememberingPeers.size === peerCount) return true;
+    return clock.now() - this.startedAt > reportInterval + LISTEN_MARGIN;
+  }
+
   onClose(listener: () => void): void {
     this.closeListeners.push(listener);
   }
@@ -86,7 +99,6 @@
 
   judge(reading: StateReading): boolean {
     const { sentAt, shown, known } = reading;
-    if (known === null && !this.hasListened()) return false;
     // One that was begun before the alarm can neither end nor confirm it.
     if (this.state !== 'serving' && sentAt <= this.since) return false;
     this.incompleteReadings = 0;
@@ -147,13 +159,18 @@
     else this.freeze(found);
   }
 
-  /** For peers; null while this node remembers nothing that could tell of a loss. */
+  /**
+   * For peers; null while this node remembers nothing that could tell of a loss. What it has from a peer only is not told
+   * on: two peers would keep each other in alarm.
+   */
   memory(): PeerMemory | null {
-    if (!this.remembers) return null;
-    return {
-      epoch: this.highest,
-      isContradicted: this.evidence.some(({ source }) => source.startsWith(OWN)),
-    };
+    const isContradicted = this.evidence.some(({ source }) => !source.startsWith(PEER));
+    return this.remembers || isContradicted ? { epoch: this.highest, isContradicted } : null;
+  }
+
+  /** The token that peers are told: in an alarm also one that only workers have seen. */
+  toldToken(token: number): number {
+    return this.isOpen() ? token : Math.max(token, this.claims.joined().token ?? 0);
   }
 
   /** Takes in what a worker's report shows of the state that it was started under. */
@@ -163,7 +180,7 @@
 
   /** Takes in what a peer tells of the state that it has seen. */
   heardPeer(member: string, { token, memory }: PeerWord): void {
-    const source = `peer ${member}`;
+    const source = `${PEER} ${member}`;
     const now = this.parts.clock.now();
     if (memory === null) {
       this.claims.note(source, { token }, now);
@@ -175,7 +192,8 @@
       this.claims.note(source, seen, now);
       return;
     }
-    const objections = objectionsOf(this.claims.noteObjection(source, seen, now, this.highest));
+    const known = this.remembers ? this.highest : NOTHING_KNOWN;
+    const objections = objectionsOf(this.claims.noteObjection(source, seen, now, known));
     if (objections.length > 0) this.notice(evidenceOf(source, objections));
   }
 
@@ -194,16 +212,6 @@
     };
   }
 
-  /**
-   * A node that has just started remembers nothing. Before it believes the state, it hears every peer or, where some have
-   * just started themselves, gives the workers the time to report.
-   */
-  private hasListened(): boolean {
-    const { clock, peerCount, reportInterval } = this.parts;
-    if (peerCount > 0 && this.rememberingPeers.size === peerCount) return true;
-    return clock.now() - this.startedAt > reportInterval + LISTEN_MARGIN;
-  }
-
   private contradictedClaims(sentAt: Micros, shown: StateSummary): Evidence[] {
     const claims = this.claims.madeBefore(sentAt, this.parts.clock.now());
     return claims.flatMap((claim) => {
--- a/packages/testkit/loopback-main.ts
+++ b/packages/testkit/loopback-main.ts
@@ -3,7 +3,8 @@
  *
  *     node target/testkit/loopback-main.js
  *
- * It prints the address of each node's listener and the id of its process, to be frozen (`kill -STOP`) and thawed.
+ * It prints the address of each node's listener and the id of its process, to be frozen (`kill -STOP`) and thawed. With
+ * `kill -USR2` on its own process the state service loses everything, and with the next one has it all again.
  */
 import { LoopbackTrial } from './loopback-trial.js';
 
@@ -13,6 +14,13 @@
   const { member, operators, users } = addresses;
   process.stdout.write(`${member}: operators ${operators}, users ${users}, process ${processId}\n`);
 }
+process.stdout.write(`state service: process ${process.pid}\n`);
+let bringBack: (() => void) | null = null;
+process.on('SIGUSR2', () => {
+  if (bringBack) bringBack();
+  bringBack = bringBack ? null : trial.loseState();
+  process.stdout.write(`state service: ${bringBack ? 'has lost everything' : 'has it all again'}\n`);
+});
 process.once('SIGINT', () => {
   trial.stop();
   process.exit();
--- a/packages/testkit/loopback-node.ts
+++ b/packages/testkit/loopback-node.ts
@@ -75,7 +75,9 @@
     writeFileSync(config, platformSettings(addresses, all, services));
     const listen = `<listen>${addresses.operators}</listen>`;
     const stop = '<handOverOnStop>true</handOverOnStop>';
-    writeFileSync(operator, `<micaworks><operations>${listen}${stop}</operations></micaworks>`);
+    const recovery = '<recovery><noticeLoss>true</noticeLoss></recovery>';
+    const operations = `<operations>${listen}${stop}</operations>`;
+    writeFileSync(operator, `<micaworks>${operations}${recovery}</micaworks>`);
     this.args = [MAIN, '--config', config, '--operator', operator];
   }
 
--- a/packages/testkit/loopback-trial.ts
+++ b/packages/testkit/loopback-trial.ts
@@ -96,6 +96,7 @@
       this.history.beforeCommit(guards, writes);
     };
     this.store.afterApply = (writes) => {
+      if (this.store.hasLost) return;
       this.history.afterCommit(writes, this.store.epoch);
       this.noteHolders(writes);
     };
@@ -136,7 +137,7 @@
   async run(): Promise<TrialReport> {
     await this.start();
     const began = Date.now();
-    const jobs = this.submitJobs(began + this.options.durationMs);
+    const jobs = this.submitJobs(this.options.durationMs);
     await this.replaceFrozenLeader();
     while (Date.now() < began + this.options.durationMs) await this.trouble();
     this.cloud.lateRequests = 0;
@@ -165,6 +166,20 @@
     return undefined;
   }
 
+  /** The state service loses everything; the function brings it back. */
+  loseState(): () => void {
+    const whole = this.store.backup();
+    this.store.wipe();
+    return () => {
+      this.store.restore(whole);
+    };
+  }
+
+  /** Tasks started so far, and jobs that are not over yet. */
+  get progress(): { starts: number; unfinished: string[] } {
+    return { starts: this.rules.starts, unfinished: this.rules.unfinished() };
+  }
+
   /** Ends the trial's own children and servers; throws what broke on the way. */
   stop(): void {
     this.isOver = true;
@@ -284,8 +299,9 @@
     this.workers.set(host.host, worker);
   }
 
-  /** Users: jobs come until the given time, each is submitted until taken and polled until it is over. */
-  private async submitJobs(until: number): Promise<void> {
+  /** Users: jobs come for so long, each is submitted until taken and polled until it is over. */
+  async submitJobs(durationMs: number): Promise<void> {
+    const until = Date.now() + durationMs;
     const users: Promise<void>[] = [];
     for (let i = 0; Date.now() < until; i++) {
       const team = TEAMS[i % TEAMS.length] ?? '';
--- a/packages/testkit/sim-store.ts
+++ b/packages/testkit/sim-store.ts
@@ -13,9 +13,17 @@
   rows: ReadonlyMap<string, Row>;
   /** How long each grant lives. */
   grants: ReadonlyMap<number, Micros>;
+  /** The latest changes, for watches. */
+  history: readonly StoredChange[];
   epoch: number;
 }
 
+interface StoredChange {
+  path: string;
+  value: Fields | null;
+  revision: number;
+}
+
 interface StoreLimits {
   rps: number;
   writeRps: number;
@@ -66,7 +74,7 @@
   private newest = 0;
   private readonly grants = new Map<number, { life: Micros; until: Micros }>();
   private nextGrant = 1;
-  private history: { path: string; value: Fields | null; revision: number }[] = [];
+  private history: StoredChange[] = [];
   private forgotten = 0;
   private watches: Watch[] = [];
   private areLowered = false;
@@ -118,11 +126,11 @@
 
   backup(): StoreBackup {
     const grants = new Map([...this.grants].map(([id, { life }]) => [id, life]));
-    return { rows: new Map(this.rows), grants, epoch: this.epoch };
+    return { rows: new Map(this.rows), grants, history: [...this.history], epoch: this.epoch };
   }
 
   /** Holds what it held at the backup, and knows nothing of what was committed since; grants get their full time. */
-  restore({ rows, grants, epoch }: StoreBackup): void {
+  restore({ rows, grants, history, epoch }: StoreBackup): void {
     if (!this.hasLost) this.newest = this.epoch;
     this.hasLost = epoch < this.newest;
     this.rows.clear();
@@ -130,12 +138,12 @@
     this.grants.clear();
     for (const [id, life] of grants) this.grants.set(id, { life, until: this.clock.time + life });
     this.epoch = epoch;
-    this.history = this.history.filter(({ revision }) => revision <= epoch);
+    this.history = [...history];
   }
 
   /** Loses everything, as one that was set up anew. */
   wipe(): void {
-    this.restore({ rows: new Map(), grants: new Map(), epoch: 0 });
+    this.restore({ rows: new Map(), grants: new Map(), history: [], epoch: 0 });
   }
 
   /** Loses some keys; open watches are told of it, or nobody is. */
@@ -274,7 +282,7 @@
     if (this.rows.delete(path)) this.remember({ path, value: null, revision: this.epoch });
   }
 
-  private remember(change: { path: string; value: Fields | null; revision: number }): void {
+  private remember(change: StoredChange): void {
     this.history.push(change);
     if (this.history.length > 10_000) this.forgotten = this.history.shift()?.revision ?? this.forgotten;
   }
