--- a/packages/recovery/claims.ts
+++ b/packages/recovery/claims.ts
@@ -33,8 +33,10 @@
   /** A claim that its source has not repeated for so long is dropped, as that of a machine that is gone. */
   constructor(private readonly life: Micros) {}
 
+  /** What a source has said once holds on: a worker's task that ended is no longer in its reports. */
   note(source: string, seen: SeenNumbers, now: Micros): void {
-    this.bySource.set(source, { source, seen, at: now, objectedAt: null });
+    const earlier = this.bySource.get(source)?.seen ?? {};
+    this.bySource.set(source, { source, seen: joinSeen(earlier, seen), at: now, objectedAt: null });
   }
 
   /** Notes a claim of a source that finds the state to contradict it; `known` is the highest epoch known here by now. */
@@ -53,6 +55,13 @@
     return [...this.bySource.values()].filter(({ at }) => at < time);
   }
 
+  /** A source that has seen more than this one finds nothing wrong: the objection is of another history. */
+  isOverruled({ seen }: Claim): boolean {
+    return [...this.bySource.values()].some(
+      (other) => other.objectedAt === null && (other.seen.epoch ?? 0) > (seen.epoch ?? 0),
+    );
+  }
+
   /** All of them as one. */
   joined(): SeenNumbers {
     return [...this.bySource.values()].reduce<SeenNumbers>((all, { seen }) => joinSeen(all, seen), {});
--- a/packages/recovery/loss-watch.ts
+++ b/packages/recovery/loss-watch.ts
@@ -193,7 +193,7 @@
       return;
     }
     const known = this.remembers ? this.highest : NOTHING_KNOWN;
-    const objections = objectionsOf(this.claims.noteObjection(source, seen, now, known));
+    const objections = this.objectionsOf(this.claims.noteObjection(source, seen, now, known));
     if (objections.length > 0) this.notice(evidenceOf(source, objections));
   }
 
@@ -216,10 +216,18 @@
     const claims = this.claims.madeBefore(sentAt, this.parts.clock.now());
     return claims.flatMap((claim) => {
       const found = findContradictions(claim.seen, shown);
-      return evidenceOf(claim.source, [...found, ...objectionsOf(claim)]);
+      return evidenceOf(claim.source, [...found, ...this.objectionsOf(claim)]);
     });
   }
 
+  /** A peer that remembers more than this node did is believed: another history may have grown beyond what it has seen. */
+  private objectionsOf(claim: Claim): Contradiction[] {
+    const { seen, objectedAt } = claim;
+    const known = seen.epoch ?? 0;
+    if (objectedAt === null || known <= objectedAt || this.claims.isOverruled(claim)) return [];
+    return [{ kind: 'peer_objects', known }];
+  }
+
   private notice(found: Evidence[]): void {
     if (this.state !== 'serving') return;
     this.enter('noticed', found);
@@ -252,12 +260,6 @@
   }
 }
 
-/** A peer that remembers more than this node did is believed: another history may have grown beyond what it has seen. */
-function objectionsOf({ seen, objectedAt }: Claim): Contradiction[] {
-  const known = seen.epoch ?? 0;
-  return objectedAt !== null && known > objectedAt ? [{ kind: 'peer_objects', known }] : [];
-}
-
 function evidenceOf(source: string, found: readonly Contradiction[]): Evidence[] {
   return found.map((contradiction) => ({
     source,
