--- a/packages/cli/errors.ts
+++ b/packages/cli/errors.ts
@@ -22,3 +22,8 @@
 export function failure(message: string): CommandError {
   return new CommandError(FAILURE_EXIT, message);
 }
+
+/** What an error of any kind says. */
+export function messageOf(cause: unknown): string {
+  return cause instanceof Error ? cause.message : String(cause);
+}
--- a/packages/cli/jobs.ts
+++ b/packages/cli/jobs.ts
@@ -12,7 +12,7 @@
   SECOND,
 } from '#wire';
 import { checkAddress } from './address.js';
-import { failure, usageError } from './errors.js';
+import { failure, messageOf, usageError } from './errors.js';
 import type { Print } from './output.js';
 
 /** How long a request is repeated that the service can't take at the moment, as its users do. */
@@ -27,7 +27,7 @@
   try {
     text = readFileSync(file === '-' ? 0 : file, 'utf8');
   } catch (cause) {
-    throw usageError(`${file}: ${cause instanceof Error ? cause.message : String(cause)}`);
+    throw usageError(`${file}: ${messageOf(cause)}`);
   }
   let body: unknown;
   try {
--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -4,7 +4,7 @@
 import { loadSettings, loadTuning, SettingsError, standardTuning } from '#settings';
 import type { NodesOptions } from './answers.js';
 import { resignDuty, showDuties } from './duties.js';
-import { CommandError, USAGE_EXIT } from './errors.js';
+import { CommandError, messageOf, USAGE_EXIT } from './errors.js';
 import { showJob, submitJob, withdrawJob } from './jobs.js';
 import type { Print } from './output.js';
 import { showRecoverStatus } from './recover.js';
@@ -135,7 +135,7 @@
       complain(`micaworks: ${cause.message}`);
       return cause.exitCode;
     }
-    complain(`micaworks: ${cause instanceof Error ? cause.message : String(cause)}`);
+    complain(`micaworks: ${messageOf(cause)}`);
     return cause instanceof SettingsError ? USAGE_EXIT : 1;
   }
 }
--- a/packages/cli/snapshot.ts
+++ b/packages/cli/snapshot.ts
@@ -5,9 +5,9 @@
 import { pipeline } from 'node:stream/promises';
 import { createGzip } from 'node:zlib';
 import { openSnapshot } from '#operations';
-import { readSnapshot, SnapshotError, type SnapshotSummary } from '#recovery';
+import { readSnapshot, type SnapshotSummary } from '#recovery';
 import { checkAddress } from './address.js';
-import { failure, usageError } from './errors.js';
+import { failure, messageOf, usageError } from './errors.js';
 import { formatTable, type Print, printJson } from './output.js';
 
 export interface SnapshotOptions {
@@ -66,7 +66,6 @@
   try {
     return await readSnapshot(createReadStream(file));
   } catch (cause) {
-    if (cause instanceof SnapshotError) throw failure(`${file}: ${cause.message}`);
     throw failure(`${file}: ${messageOf(cause)}`);
   }
 }
@@ -92,7 +91,3 @@
     ['size', `${size} bytes, ${summary.lines} lines`],
   ];
 }
-
-function messageOf(cause: unknown): string {
-  return cause instanceof Error ? cause.message : String(cause);
-}
--- a/packages/cluster/live-state.ts
+++ b/packages/cluster/live-state.ts
@@ -115,13 +115,13 @@
 
 /**
  * Keys that changes take away, or take back to an earlier record, though no node ever does so: records, the token, the
- * present checkpoint, jobs that have not ended, and what became of jobs.
+ * present checkpoint, jobs that have not ended, and what became of jobs. The changes come in the order of their commits.
  */
 export function lostKeys(changes: readonly Change[], copy: CopyFacts): string[] {
   const lost: string[] = [];
   const ended = new Set<string>();
   let { checkpointId } = copy;
-  for (const { path, value } of [...changes].sort(inOrder)) {
+  for (const { path, value } of changes) {
     if (path === CHECKPOINT_HEAD && value) checkpointId = String(value['Id']);
     else if (path.startsWith(JOBS)) {
       const job = path.slice(JOBS.length);
--- a/packages/cluster/replica.ts
+++ b/packages/cluster/replica.ts
@@ -397,9 +397,10 @@
       this.enter('loading');
       return;
     }
-    this.refuseLosses(answer.news);
-    this.changes.add(answer.news.length);
-    for (const change of answer.news.sort(inOrder)) this.take(change);
+    const changes = answer.news.sort(inOrder);
+    this.refuseLosses(changes);
+    this.changes.add(changes.length);
+    for (const change of changes) this.take(change);
     this.applied = Math.max(this.applied, answer.epoch);
     this.announceIfCurrent();
   }
--- a/packages/recovery/loss-watch.ts
+++ b/packages/recovery/loss-watch.ts
@@ -107,8 +107,7 @@
       ...this.contradictedClaims(sentAt, shown),
     ];
     if (found.length === 0) this.accept(shown);
-    else if (this.state === 'serving') this.notice(found);
-    else this.freeze(found);
+    else this.contradicted(found);
     return found.length === 0;
   }
 
@@ -154,9 +153,7 @@
     this.incompleteReadings++;
     if (this.incompleteReadings < INCOMPLETE_READINGS) return;
     this.incompleteReadings = 0;
-    const found = evidenceOf(`${OWN} reading`, [{ kind: 'state_incomplete', reason }]);
-    if (this.state === 'serving') this.notice(found);
-    else this.freeze(found);
+    this.contradicted(evidenceOf(`${OWN} reading`, [{ kind: 'state_incomplete', reason }]));
   }
 
   /**
@@ -234,9 +231,11 @@
     for (const listener of this.closeListeners) listener();
   }
 
-  private freeze(found: Evidence[]): void {
-    this.evidence = found.slice(0, EVIDENCE_KEPT);
-    if (this.state !== 'frozen') this.enter('frozen', found);
+  /** Whole readings contradict what was seen: the first raises the alarm, the next confirms it. */
+  private contradicted(found: Evidence[]): void {
+    if (this.state === 'serving') this.notice(found);
+    else if (this.state === 'noticed') this.enter('frozen', found);
+    else this.evidence = found.slice(0, EVIDENCE_KEPT);
   }
 
   private accept({ epoch }: StateSummary): void {
