--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -56,6 +56,13 @@
   async start() {
     const { site } = this;
     this.state = new StateService(site.state);
+    // What the controllers write to their logs is noted too, so that a record explains itself.
+    this.state.onCommit = (writes) => {
+      for (const { Set: key, V } of writes) {
+        if (key?.startsWith('mw/now/log/')) this.record('log', { key: key.slice(11), ...withoutPrices(V) });
+        else if (key === 'mw/now/token') this.record('token', V);
+      }
+    };
     this.cloud = new Cloud({
       types: site.types,
       capacity: site.capacity,
@@ -282,6 +289,10 @@
   }
 }
 
+function withoutPrices({ prices, unmet, ...rest }) {
+  return { ...rest, ...(prices ? { prices: '...' } : {}), ...(unmet ? { unmet } : {}) };
+}
+
 /** A job of the protocol's form with plain values, changed by `fields`. */
 export function job(Uid, fields) {
   return {
--- a/review/lib/proxy.js
+++ b/review/lib/proxy.js
@@ -1,8 +1,9 @@
-// A TCP proxy on loopback that can drop or refuse what passes, for cuts between two processes.
+// A TCP proxy on loopback that can hold back or reset what passes, for cuts between two processes.
 import { connect, createServer } from 'node:net';
 
 export class Proxy {
-  isCut = false;
+  #isCut = false;
+  #held = [];
   #pairs = new Set();
 
   /** `target`: `host:port`, which need not listen yet. */
@@ -25,14 +26,25 @@
         socket.on('error', end);
         socket.on('close', end);
       }
-      // Behind a cut bytes are lost without an error; both ends wait.
-      client.on('data', (bytes) => this.isCut || upstream.write(bytes));
-      upstream.on('data', (bytes) => this.isCut || client.write(bytes));
+      client.on('data', (bytes) => this.#pass(upstream, bytes));
+      upstream.on('data', (bytes) => this.#pass(client, bytes));
     });
     await new Promise((resolve) => this.server.listen(0, '127.0.0.1', resolve));
     return `127.0.0.1:${this.server.address().port}`;
   }
 
+  /** Cuts the link or restores it. Behind a cut both ends wait; what was held is delivered late, in order. */
+  setCut(isCut) {
+    this.#isCut = isCut;
+    if (isCut) return;
+    for (const { socket, bytes } of this.#held.splice(0)) if (!socket.destroyed) socket.write(bytes);
+  }
+
+  #pass(socket, bytes) {
+    if (this.#isCut) this.#held.push({ socket, bytes });
+    else socket.write(bytes);
+  }
+
   /** Ends all open connections, as a cut that resets them does. */
   reset() {
     for (const { client, upstream } of [...this.#pairs]) {
--- a/review/lib/state.js
+++ b/review/lib/state.js
@@ -113,6 +113,7 @@
       return { status: 409, body: { failed: failed.map(({ Path }) => Path), Epoch: this.epoch } };
     if (Writes.length === 0) return { status: 200, body: { Epoch: this.epoch } };
     this.epoch++;
+    this.onCommit?.(Writes);
     for (const { Set: key, Remove, V, Permit } of Writes) {
       if (key === undefined) this.#remove(Remove);
       else this.#put(key, V, (Permit ?? null) === null ? null : Number(Permit));
