--- a/review/lib/worker.js
+++ b/review/lib/worker.js
@@ -194,8 +194,10 @@
       // A result is kept: a task that has one exits at once.
       const runMs = job.results?.has(piece) ? 0 : job.runMs(Number(index), this.host);
       this.#after(runMs, () => {
-        if (task.status === 'running')
-          this.#exit(task, job.fails?.(Number(index), this.host) ? 'error' : 'done');
+        if (task.status !== 'running') return;
+        const cause = job.fails?.(Number(index), this.host) ? 'error' : 'done';
+        if (cause === 'done') (job.results ??= new Set()).add(piece);
+        this.#exit(task, cause);
       });
     });
   }
