Fleet status log: pending scale-out requests and machines

The logs showed besides 6,001 lines `scale-out requested`, but not how many requests are recorded and unsettled, so that planned, requested and recorded growth could not be told apart over time. Change: `fleet status` names the number of pending requests and the machines that they ask for.

--- a/packages/daemon/fleet-status-logger.ts
+++ b/packages/daemon/fleet-status-logger.ts
@@ -24,7 +24,15 @@
   placed: number;
 }
 
-/** Logs machines, CPUs and CPUs of placed tasks, grouped by machine shape. */
+/** Scale-out requests that are not settled yet. The fields are logged under these names. */
+interface ScaleOutStatus {
+  /** Number of recorded requests. */
+  requests: number;
+  /** Number of machines that they ask for. */
+  machines: number;
+}
+
+/** Logs machines, CPUs and CPUs of placed tasks, grouped by machine shape, and the pending scale-out requests. */
 export class FleetStatusLogger {
   private lastLoggedAt: Micros = -Infinity;
 
@@ -41,7 +49,14 @@
       const status = (shapes[shape] ??= { machines: 0, booting: 0, cpus: 0, placed: 0 });
       this.addMachine(machine, status);
     }
-    log.info({ jobs: replica.jobs.size, shapes }, 'fleet status');
+    log.info({ jobs: replica.jobs.size, shapes, scaleOuts: this.scaleOutStatus() }, 'fleet status');
+  }
+
+  private scaleOutStatus(): ScaleOutStatus {
+    const { pendingScaleOuts } = this.options.replica.ledger;
+    let machines = 0;
+    for (const { count } of pendingScaleOuts.values()) machines += count;
+    return { requests: pendingScaleOuts.size, machines };
   }
 
   /** Adds the machine to the totals of its shape. */
