Scale-out: count alike machines instead of listing each

Cause: for unmet demand the planner kept one object for each machine that it planned, and for each step built as many again for the machines of unsettled requests. Fix: pending capacity is kept in groups of alike machines with their number (fleet/pending-capacity.ts). An allocation splits at most one group, so that the memory grows with demands and requests, whatever number of machines they stand for. This is only a part: the number of requests is still unbounded.

--- a/packages/fleet/fleet-context.ts
+++ b/packages/fleet/fleet-context.ts
@@ -3,7 +3,8 @@
 import type { FencedCloud } from '#roles';
 import type { Clock, MachineType, Micros } from '#wire';
 import type { MachineList } from './machine-list.js';
-import type { PendingCapacity, UnmetDemand } from './offers.js';
+import type { UnmetDemand } from './offers.js';
+import type { PendingCapacity } from './pending-capacity.js';
 import type { PendingFleetChanges } from './pending-fleet-changes.js';
 
 /** The cluster state that fleet decisions are based on, as the leader currently sees it. */
--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -1,28 +1,70 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { CloudClient } from '#cloud';
-import { type MachineRow, Ledger } from '#cluster';
+import type { CloudClient, ScaleOutResult } from '#cloud';
+import { type MachineRow, Ledger, type ScaleOutRow } from '#cluster';
+import type { PendingJob } from '#pricing';
 import { RoleRegistry, FencedCloud } from '#roles';
 import { SimClock } from '#testkit';
-import { type ListedMachine, type Micros, SECOND } from '#wire';
-import type { FleetState } from './fleet-context.js';
+import { type ListedMachine, type MachineType, type Micros, type ScaleOutRequest, SECOND } from '#wire';
+import type { FleetState, ShardDemand } from './fleet-context.js';
 import { FleetManager } from './fleet-manager.js';
+import type { UnmetDemand } from './offers.js';
 
 const SILENT_LOGGER = { debug: () => undefined, info: () => undefined, error: () => undefined };
 const LIST_LAG = 3 * SECOND;
 /** After this time every running machine is certain to be in the list, so the manager relies on its absence. */
 const LIST_COMPLETE_AFTER: Micros = 2 * LIST_LAG + 12 * SECOND;
 
+const SMALL: MachineType = {
+  name: 'small',
+  cpus: 4,
+  gpus: 0,
+  memGb: 16,
+  cacheGb: 40,
+  fetchGbPerS: 1,
+  price: 1,
+  spotPrice: 0.3,
+  bootS: 6,
+  zones: ['east', 'west'],
+};
+
+/** A job whose tasks need a machine each. */
+const SWEEP: PendingJob = {
+  id: 'j-1',
+  team: 'guest',
+  taskResources: { cpus: 4, gpus: 0, memGb: 14 },
+  priority: 1,
+  acceptanceOrder: 1,
+  pendingTaskCount: 100_000,
+  taskCount: 100_000,
+  isGang: false,
+  machineTypes: null,
+  zone: null,
+  singleZone: false,
+  spreadZones: false,
+  allowsSpot: true,
+  image: 'i',
+  placedByZone: new Map(),
+};
+
+function shardDemand(shard: number, unmetDemand: UnmetDemand[]): ShardDemand {
+  return { shard, unmetDemand, pendingCapacity: [], canReach: () => true };
+}
+
 /** A fleet manager that holds a term, with a cloud whose list of machines can be made unavailable. */
 class FleetHarness {
   readonly clock = new SimClock();
   readonly ledger = new Ledger();
   listed: ListedMachine[] | null = [];
   deleted: string[] = [];
+  /** Requests that were sent, and the response to them. */
+  requests: ScaleOutRequest[] = [];
+  response: ScaleOutResult = { kind: 'unknown' };
+  demands: ShardDemand[] = [];
   readonly manager: FleetManager;
   private recordCount = 0;
 
-  constructor() {
+  constructor(machineTypes: readonly MachineType[] = []) {
     const clock = this.clock.createProcessClock(
       (step) => {
         step();
@@ -40,10 +82,14 @@
         this.deleted.push(...hosts);
         return Promise.resolve(true);
       },
+      requestMachines: (request: ScaleOutRequest) => {
+        this.requests.push(request);
+        return Promise.resolve(this.response);
+      },
     } as unknown as CloudClient;
     const state: FleetState = {
       ledger: this.ledger,
-      machineTypes: new Map(),
+      machineTypes: new Map(machineTypes.map((type) => [type.name, type])),
       workerLease: 3600 * SECOND,
       machineListLag: LIST_LAG,
       shardForZone: () => 0,
@@ -66,7 +112,7 @@
   /** Runs one step a second for the duration, and records the pending changes after each. */
   async run(duration: Micros): Promise<void> {
     for (const end = this.clock.time + duration; this.clock.time < end;) {
-      this.manager.step([]);
+      this.manager.step(this.demands);
       await this.clock.run(this.clock.time + SECOND, () => undefined);
       const draft = this.manager.draft();
       if (!Object.values(draft).some((rows) => Array.isArray(rows) && rows.length > 0)) continue;
@@ -80,6 +126,15 @@
     this.ledger.apply('lead', { sequence: ++this.recordCount, recordedAtMs: 0, machines: [row] });
   }
 
+  /** Records requests, as a leader before did that has not settled them. */
+  recordRequests(requests: readonly ScaleOutRow[]): void {
+    this.ledger.apply('lead', {
+      sequence: ++this.recordCount,
+      recordedAtMs: this.clock.time / 1000,
+      scaleOuts: [...requests],
+    });
+  }
+
   destination(host: string): unknown {
     return this.ledger.machines.get(host)?.destination;
   }
@@ -120,3 +175,26 @@
   assert.deepEqual([...new Set(fleet.deleted)], ['n-1']);
   assert.equal(fleet.destination('n-2'), null);
 });
+
+// Guards against a process that ends for memory: the machines of recorded requests were kept one by one.
+test('machines of requests that an earlier leader recorded are counted, not kept one by one', async () => {
+  let machinesBuilt = 0;
+  const counted = {
+    ...SMALL,
+    get memGb() {
+      machinesBuilt++;
+      return SMALL.memGb;
+    },
+  };
+  const fleet = new FleetHarness([counted]);
+  const requestCount = 2000;
+  fleet.recordRequests(
+    [...Array(requestCount).keys()].map((i): ScaleOutRow => [`hire-${i}`, 'small', 'east', true, 50, 0]),
+  );
+  fleet.demands = [shardDemand(0, [{ job: SWEEP, count: 1000 }])];
+  await fleet.run(SECOND);
+  assert.ok(
+    machinesBuilt <= 2 * requestCount,
+    `${machinesBuilt} machines built for ${requestCount} requests`,
+  );
+});
--- a/packages/fleet/scale-out-planner.ts
+++ b/packages/fleet/scale-out-planner.ts
@@ -1,15 +1,13 @@
 /** Plans which offers to request for unmet demand, and how many machines of each. Pure: no clock, no I/O. */
 import { type Resources, fits, countFitting, subtractResources, type PendingJob } from '#pricing';
 import { type MachineType } from '#wire';
+import { type Offer, type UnmetDemand, isFeasible, offerKey, resourcesOf } from './offers.js';
 import {
-  type Offer,
   type PendingCapacity,
-  type UnmetDemand,
   allocatePending,
-  isFeasible,
-  offerKey,
-  resourcesOf,
-} from './offers.js';
+  copyPending,
+  countFittingPending,
+} from './pending-capacity.js';
 
 /** Input of {@link planScaleOut}. */
 export interface ScaleOutInput {
@@ -17,7 +15,7 @@
   /** Tasks for which there is no free capacity, most urgent first. */
   unmetDemand: readonly UnmetDemand[];
   /** Machines that were requested but are not up yet, and capacity that is about to become free. */
-  pendingCapacity: PendingCapacity[];
+  pendingCapacity: readonly PendingCapacity[];
   /** Current number of machines in each zone, so that new machines go to zones with fewer. Keyed by zone. */
   machinesPerZone: ReadonlyMap<string, number>;
   /** True if the cloud recently had no capacity of the offer, or the owner cannot reach its zone. */
@@ -60,18 +58,21 @@
   );
 }
 
+function isSameCapacity(a: Resources, b: Resources): boolean {
+  return a.cpus === b.cpus && a.gpus === b.gpus && a.memGb === b.memGb;
+}
+
 /** Plans requests for one demand after the other, and accumulates the plans. */
 class ScaleOutPlanner {
   private readonly plans = new Map<string, ScaleOutPlan>();
   private readonly machinesPerZone: Map<string, number>;
   private readonly pendingCapacity: PendingCapacity[];
+  /** The group of planned machines that was added last. Keyed by offer. */
+  private readonly lastPlanned = new Map<string, PendingCapacity>();
 
   constructor(private readonly input: ScaleOutInput) {
     this.machinesPerZone = new Map(input.machinesPerZone);
-    this.pendingCapacity = input.pendingCapacity.map((machine) => ({
-      ...machine,
-      free: { ...machine.free },
-    }));
+    this.pendingCapacity = input.pendingCapacity.map(copyPending);
   }
 
   result(): ScaleOutPlan[] {
@@ -84,23 +85,39 @@
     while (remaining > 0) {
       const offer = this.cheapestOffer(job, remaining);
       if (!offer) break;
-      const free = this.addMachine(offer);
+      this.countMachine(offer);
+      const free = this.capacityOf(offer);
       const allocated = Math.min(remaining, countFitting(job.taskResources, free));
       subtractResources(free, job.taskResources, allocated);
       remaining -= allocated;
+      this.addPlanned(offer, free);
     }
   }
 
-  /** Adds a machine to the plan. Returns its free capacity, which later demand may use as well. */
-  private addMachine(offer: Offer): Resources {
+  /** Adds a machine to the plan of its offer. */
+  private countMachine(offer: Offer): void {
     const key = offerKey(offer);
     const plan = this.plans.get(key) ?? { ...offer, count: 0 };
     this.plans.set(key, plan);
     plan.count++;
     this.machinesPerZone.set(offer.zone, (this.machinesPerZone.get(offer.zone) ?? 0) + 1);
-    const free = resourcesOf(this.input.types.find((type) => type.name === offer.machineType)!);
-    this.pendingCapacity.push({ ...offer, free });
-    return free;
+  }
+
+  private capacityOf({ machineType }: Offer): Resources {
+    return resourcesOf(this.input.types.find((type) => type.name === machineType)!);
+  }
+
+  /** Adds a planned machine to the pending capacity, since later demand may use what is left of it. */
+  private addPlanned(offer: Offer, free: Resources): void {
+    const key = offerKey(offer);
+    const last = this.lastPlanned.get(key);
+    if (last && isSameCapacity(last.free, free)) {
+      last.machineCount++;
+      return;
+    }
+    const group = { ...offer, machineCount: 1, free };
+    this.pendingCapacity.push(group);
+    this.lastPlanned.set(key, group);
   }
 
   /**
@@ -110,26 +127,18 @@
   private chooseZone(demand: UnmetDemand): UnmetDemand {
     const { job, count, canUseOtherZones } = demand;
     if (!job.isGang || !job.singleZone || (job.zone !== null && canUseOtherZones !== true)) return demand;
-    const isServed = job.zone !== null && this.countFittingPending(job) >= count;
+    const isServed = job.zone !== null && countFittingPending(this.pendingCapacity, job) >= count;
     if (job.zone !== null && (isServed || this.cheapestOffer(job, count))) return demand;
     const zones = new Set(this.input.types.flatMap((type) => type.zones));
     const choices = [...zones]
       .map((zone) => ({ ...job, zone }))
       .filter((choice) => this.cheapestOffer(choice, choice.pendingTaskCount) !== null)
-      .map((choice) => ({ choice, taskCount: this.countFittingPending(choice) }))
+      .map((choice) => ({ choice, taskCount: countFittingPending(this.pendingCapacity, choice) }))
       .sort((a, b) => b.taskCount - a.taskCount);
     const best = choices[0]?.choice;
     return best ? { job: best, count: best.pendingTaskCount } : demand;
   }
 
-  private countFittingPending(job: PendingJob): number {
-    let sum = 0;
-    for (const machine of this.pendingCapacity) {
-      if (isFeasible(job, machine)) sum += countFitting(job.taskResources, machine.free);
-    }
-    return sum;
-  }
-
   /** Returns the feasible offer with the lowest price per task, counting only tasks that it would run; null if none. */
   private cheapestOffer(job: PendingJob, count: number): Offer | null {
     let best: Offer | null = null;
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -7,7 +7,8 @@
 import type { FleetContext, ShardDemand } from './fleet-context.js';
 import type { MachineAdoption } from './machine-adoption.js';
 import { isBooting } from './machine-age.js';
-import { type PendingCapacity, resourcesOf } from './offers.js';
+import { offerKey, resourcesOf } from './offers.js';
+import type { PendingCapacity } from './pending-capacity.js';
 import { planScaleOut, type ScaleOutPlan } from './scale-out-planner.js';
 
 /** Time between two attempts of the same request. */
@@ -68,16 +69,19 @@
   private summarizeMachines(shard: number): FleetSummary {
     const { ledger, machineTypes } = this.context.state();
     const machinesPerZone = new Map<string, number>();
-    const booting: PendingCapacity[] = [];
+    const booting = new Map<string, PendingCapacity>();
     for (const machine of ledger.machines.values()) {
       const { machineType, zone, spot } = machine;
       machinesPerZone.set(zone, (machinesPerZone.get(zone) ?? 0) + 1);
       if (machine.shard !== shard) continue;
       const type = machineTypes.get(machineType);
-      if (type && isBooting(machine, this.context))
-        booting.push({ machineType, zone, spot, free: resourcesOf(type) });
+      if (!type || !isBooting(machine, this.context)) continue;
+      const group = booting.get(offerKey(machine));
+      if (group) group.machineCount++;
+      else
+        booting.set(offerKey(machine), { machineType, zone, spot, machineCount: 1, free: resourcesOf(type) });
     }
-    return { machinesPerZone, booting };
+    return { machinesPerZone, booting: [...booting.values()] };
   }
 
   /** Returns the machines of the shard's planned and recorded requests that are not settled yet. */
@@ -86,8 +90,7 @@
     const requested: PendingCapacity[] = [];
     const add = ({ machineType, zone, spot, count }: ScaleOutPlan): void => {
       const type = machineTypes.get(machineType);
-      if (!type) return;
-      for (let i = 0; i < count; i++) requested.push({ machineType, zone, spot, free: resourcesOf(type) });
+      if (type) requested.push({ machineType, zone, spot, machineCount: count, free: resourcesOf(type) });
     };
     for (const scaleOut of ledger.pendingScaleOuts.values()) if (scaleOut.shard === shard) add(scaleOut);
     for (const [, machineType, zone, spot, count, requestedShard] of this.context.changes.scaleOuts) {
--- a/packages/scheduling/forecaster.ts
+++ b/packages/scheduling/forecaster.ts
@@ -163,7 +163,8 @@
         if (runTimeEstimator.remainingRunTime(placement) < PENDING_CAPACITY_HORIZON)
           subtractResources(free, placement, -1);
       }
-      if (free.memGb > 0 || free.cpus > 0) capacities.push({ machineType, zone, spot, free });
+      if (free.memGb > 0 || free.cpus > 0)
+        capacities.push({ machineType, zone, spot, machineCount: 1, free });
     }
     return capacities;
   }
--- a/packages/scheduling/preemption-planner.ts
+++ b/packages/scheduling/preemption-planner.ts
@@ -145,7 +145,7 @@
         if (!workers.isStopping(placement)) subtractResources(free, placement, 1);
       }
       const { machineType, zone, spot } = machine;
-      capacities.push({ machineType, zone, spot, free });
+      capacities.push({ machineType, zone, spot, machineCount: 1, free });
     }
     return capacities;
   }
