Scale-out: bound the unsettled requests, guarantees first, then teams in turn

Cause: all unmet demand was turned into requests at once, one for each 50 machines, however many: recorded in the log, loaded by every successor, sent all at the same time, and built into pending capacity again at each step. Nothing ordered the demand of different shards, so a guest's 6,000 requests came before those of a team within its guarantee on the next shard. Fix: at most as many requests are planned or recorded, and unsettled, as the cloud accepts in 4 s (a fact of the settings); demand beyond is planned again as they are settled, so there is no limit of the fleet. One plan covers all shards: first the tasks within the unused guarantee of their team, then the teams in turn, a request each. The machines are summarized once a step, not once a shard.

--- a/packages/daemon/leader.ts
+++ b/packages/daemon/leader.ts
@@ -140,6 +140,7 @@
       ledger: replica.ledger,
       machineTypes: replica.machineTypes,
       workerLease: settings.workerLease,
+      cloudRequestRate: settings.cloudRps,
       machineListLag: settings.machineListLag,
       shardForZone: (zone) => shardForZone(replica, settings.initialSize, zone),
       isInWarmPool: (host) => this.drainer.isInWarmPool(host),
--- a/packages/daemon/machine-rebalancer.ts
+++ b/packages/daemon/machine-rebalancer.ts
@@ -67,7 +67,7 @@
     const { forecaster } = this.options;
     return forecasts.map(({ member, shards, pendingCapacity }) => ({
       shard: shards[0] ?? 0,
-      unmetDemand: (unmetDemand.get(member) ?? []).map((demand) => forecaster.scaleOutDemand(demand)),
+      unmetDemand: forecaster.scaleOutDemands(unmetDemand.get(member) ?? []),
       pendingCapacity,
       canReach: (zone) => reachability.canReach(member, zone),
     }));
--- a/packages/fleet/fleet-context.ts
+++ b/packages/fleet/fleet-context.ts
@@ -13,6 +13,8 @@
   machineTypes: ReadonlyMap<string, MachineType>;
   /** How long a worker may be unresponsive before its machine counts as lost. */
   workerLease: Micros;
+  /** Requests per second that the cloud accepts. */
+  cloudRequestRate: number;
   /** Nominal maximum age of the cloud's list of machines. */
   machineListLag: Micros;
   /** Returns the shard that an adopted machine in this zone should belong to. */
@@ -26,6 +28,7 @@
 /** Unmet demand of a shard as the leader forecasts it. */
 export interface ShardDemand {
   shard: number;
+  /** Pending tasks that justify machines, most urgent first. */
   unmetDemand: readonly UnmetDemand[];
   /** Capacity that the running tasks of the shard's owner are about to free. */
   pendingCapacity: readonly PendingCapacity[];
--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -12,6 +12,8 @@
 
 const SILENT_LOGGER = { debug: () => undefined, info: () => undefined, error: () => undefined };
 const LIST_LAG = 3 * SECOND;
+/** Requests per second that the cloud accepts. */
+const CLOUD_REQUEST_RATE = 5;
 /** After this time every running machine is certain to be in the list, so the manager relies on its absence. */
 const LIST_COMPLETE_AFTER: Micros = 2 * LIST_LAG + 12 * SECOND;
 
@@ -57,9 +59,9 @@
   readonly ledger = new Ledger();
   listed: ListedMachine[] | null = [];
   deleted: string[] = [];
-  /** Requests that were sent, and the response to them. */
+  /** Requests that were sent. */
   requests: ScaleOutRequest[] = [];
-  response: ScaleOutResult = { kind: 'unknown' };
+  respond: (request: ScaleOutRequest) => ScaleOutResult = () => ({ kind: 'unknown' });
   demands: ShardDemand[] = [];
   readonly manager: FleetManager;
   private recordCount = 0;
@@ -84,13 +86,14 @@
       },
       requestMachines: (request: ScaleOutRequest) => {
         this.requests.push(request);
-        return Promise.resolve(this.response);
+        return Promise.resolve(this.respond(request));
       },
     } as unknown as CloudClient;
     const state: FleetState = {
       ledger: this.ledger,
       machineTypes: new Map(machineTypes.map((type) => [type.name, type])),
       workerLease: 3600 * SECOND,
+      cloudRequestRate: CLOUD_REQUEST_RATE,
       machineListLag: LIST_LAG,
       shardForZone: () => 0,
       isInWarmPool: () => false,
@@ -109,6 +112,9 @@
     this.manager.beginTerm(termProof);
   }
 
+  /** Largest number of requests that were recorded and not settled at the same time. */
+  mostPendingRequests = 0;
+
   /** Runs one step a second for the duration, and records the pending changes after each. */
   async run(duration: Micros): Promise<void> {
     for (const end = this.clock.time + duration; this.clock.time < end;) {
@@ -118,6 +124,7 @@
       if (!Object.values(draft).some((rows) => Array.isArray(rows) && rows.length > 0)) continue;
       this.ledger.apply('lead', { ...draft, sequence: ++this.recordCount, recordedAtMs: 0 });
       this.manager.onRecordCommitted(draft);
+      this.mostPendingRequests = Math.max(this.mostPendingRequests, this.ledger.pendingScaleOuts.size);
     }
   }
 
@@ -198,3 +205,31 @@
     `${machinesBuilt} machines built for ${requestCount} requests`,
   );
 });
+
+// Guards against processes that end for memory: one request was recorded for each 50 machines of an unbounded demand.
+test('demand for 300,000 machines leaves only as many requests pending as the cloud accepts in seconds', async () => {
+  const fleet = new FleetHarness([SMALL]);
+  fleet.demands = [0, 1, 2].map((shard) =>
+    shardDemand(shard, [{ job: { ...SWEEP, team: `guest-${shard}` }, count: 100_000 }]),
+  );
+  await fleet.run(15 * SECOND);
+  assert.equal(fleet.mostPendingRequests, 4 * CLOUD_REQUEST_RATE);
+  const shards = new Set([...fleet.ledger.pendingScaleOuts.values()].map(({ shard }) => shard));
+  assert.deepEqual([...shards].sort(), [0, 1, 2]);
+});
+
+// Guards against a fixed limit of the fleet, and against a demand that is served only in part.
+test('a demand for 4,500 machines is met to the last one, in several batches', async () => {
+  const fleet = new FleetHarness([{ ...SMALL, bootS: 600 }]);
+  fleet.listed = null;
+  let hostCount = 0;
+  fleet.respond = ({ count }) => ({
+    kind: 'rented',
+    hosts: [...Array(count).keys()].map(() => `n-${++hostCount}`),
+  });
+  fleet.demands = [shardDemand(0, [{ job: SWEEP, count: 4500 }])];
+  await fleet.run(30 * SECOND);
+  assert.equal(fleet.ledger.machines.size, 4500);
+  assert.ok(fleet.mostPendingRequests <= 4 * CLOUD_REQUEST_RATE);
+  assert.equal(fleet.ledger.pendingScaleOuts.size, 0);
+});
--- a/packages/fleet/fleet-manager.ts
+++ b/packages/fleet/fleet-manager.ts
@@ -82,7 +82,7 @@
     const { termProof } = this;
     if (!termProof) return;
     this.machineList.trackMachines(this.state().ledger);
-    for (const demand of demands) this.scaleOut.plan(demand, termProof);
+    this.scaleOut.plan(demands, termProof);
     this.scaleOut.sendAll(termProof);
     void this.adoption.adoptListed(termProof);
     this.scaleIn.selectIdle(demands.some((demand) => demand.unmetDemand.length > 0));
--- a/packages/fleet/offers.ts
+++ b/packages/fleet/offers.ts
@@ -15,6 +15,8 @@
   job: PendingJob;
   /** Number of tasks. */
   count: number;
+  /** How many of them lie within the unused guarantee of their team; 0 if absent. */
+  guaranteedCount?: number;
   /** True if `job.zone` is not the job's own constraint, so that another zone may be used if that one has no offer. */
   canUseOtherZones?: boolean;
 }
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -1,16 +1,18 @@
 /** Scale-out requests of the leader. Each is recorded in the log first, and then sent until it is settled. */
-import { MAX_MACHINES_PER_REQUEST } from '#cloud';
 import type { PendingScaleOut } from '#cluster';
 import { type FencedScaleOutResult, ScaleOutIntent, type TermProof } from '#roles';
 import { type Micros, MS, SECOND } from '#wire';
 import { CapacityBackoff } from './capacity-backoff.js';
 import type { FleetContext, ShardDemand } from './fleet-context.js';
 import type { MachineAdoption } from './machine-adoption.js';
-import { isBooting } from './machine-age.js';
-import { offerKey, resourcesOf } from './offers.js';
+import { summarizeMachines } from './machine-summary.js';
+import { resourcesOf } from './offers.js';
 import type { PendingCapacity } from './pending-capacity.js';
-import { planScaleOut, type ScaleOutPlan } from './scale-out-planner.js';
+import type { PlannedScaleOut } from './scale-out-batch.js';
+import { planScaleOut } from './scale-out-planner.js';
 
+/** There are at most as many unsettled requests as the cloud accepts in this time. */
+const REQUEST_WINDOW: Micros = 4 * SECOND;
 /** Time between two attempts of the same request. */
 const SCALE_OUT_RETRY_INTERVAL: Micros = 2 * SECOND;
 /** Time beyond the retry interval after which the next attempt is made although the last one has no response yet. */
@@ -18,14 +20,6 @@
 /** A request without a conclusive response is abandoned after this time. */
 const SCALE_OUT_TIMEOUT: Micros = 20 * SECOND;
 
-/** Summary of the fleet's machines for the scale-out of one shard. */
-interface FleetSummary {
-  /** Number of machines of all shards. Keyed by zone. */
-  readonly machinesPerZone: ReadonlyMap<string, number>;
-  /** Capacity of the shard's machines that are still booting. */
-  readonly booting: readonly PendingCapacity[];
-}
-
 /** Plans, records and sends scale-out requests. */
 export class ScaleOutRequests {
   private readonly backoff: CapacityBackoff;
@@ -46,19 +40,23 @@
     this.backoff.clear();
   }
 
-  /** Plans requests for the shard's unmet demand. They are sent after they are recorded. */
-  plan(demand: ShardDemand, termProof: TermProof): void {
-    const { shard, unmetDemand, canReach } = demand;
-    if (unmetDemand.length === 0) return;
-    const { machinesPerZone, booting } = this.summarizeMachines(shard);
-    const plans = planScaleOut({
+  /** Plans requests for the unmet demand of all shards. They are sent after they are recorded. */
+  plan(demands: readonly ShardDemand[], termProof: TermProof): void {
+    if (demands.every(({ unmetDemand }) => unmetDemand.length === 0)) return;
+    const { machinesPerZone, booting } = summarizeMachines(this.context);
+    const requested = this.requestedCapacity();
+    const requests = planScaleOut({
       types: [...this.context.state().machineTypes.values()],
-      unmetDemand,
-      pendingCapacity: [...demand.pendingCapacity, ...booting, ...this.requestedCapacity(shard)],
+      shards: demands.map(({ shard, unmetDemand, pendingCapacity, canReach }) => ({
+        shard,
+        unmetDemand,
+        pendingCapacity: [...pendingCapacity, ...(booting.get(shard) ?? []), ...(requested.get(shard) ?? [])],
+        isBackedOff: (offer) => this.backoff.isBackedOff(offer) || !canReach(offer.zone),
+      })),
       machinesPerZone,
-      isBackedOff: (offer) => this.backoff.isBackedOff(offer) || !canReach(offer.zone),
+      maxRequests: this.maxPendingRequests() - this.pendingRequestCount(),
     });
-    for (const plan of plans) this.addRequests(plan, shard, termProof);
+    for (const request of requests) this.addRequest(request, termProof);
   }
 
   /** Sends the recorded requests whose next attempt is due. */
@@ -66,53 +64,38 @@
     for (const id of this.context.state().ledger.pendingScaleOuts.keys()) void this.send(id, termProof);
   }
 
-  private summarizeMachines(shard: number): FleetSummary {
-    const { ledger, machineTypes } = this.context.state();
-    const machinesPerZone = new Map<string, number>();
-    const booting = new Map<string, PendingCapacity>();
-    for (const machine of ledger.machines.values()) {
-      const { machineType, zone, spot } = machine;
-      machinesPerZone.set(zone, (machinesPerZone.get(zone) ?? 0) + 1);
-      if (machine.shard !== shard) continue;
-      const type = machineTypes.get(machineType);
-      if (!type || !isBooting(machine, this.context)) continue;
-      const group = booting.get(offerKey(machine));
-      if (group) group.machineCount++;
-      else
-        booting.set(offerKey(machine), { machineType, zone, spot, machineCount: 1, free: resourcesOf(type) });
-    }
-    return { machinesPerZone, booting: [...booting.values()] };
+  /** Returns how many requests may be recorded or planned, and not settled, at the same time. */
+  private maxPendingRequests(): number {
+    return Math.max(1, Math.floor((this.context.state().cloudRequestRate * REQUEST_WINDOW) / SECOND));
   }
 
-  /** Returns the machines of the shard's planned and recorded requests that are not settled yet. */
-  private requestedCapacity(shard: number): PendingCapacity[] {
+  private pendingRequestCount(): number {
+    return this.context.state().ledger.pendingScaleOuts.size + this.context.changes.scaleOuts.length;
+  }
+
+  /** Returns the machines of planned and recorded requests that are not settled yet. Keyed by shard. */
+  private requestedCapacity(): Map<number, PendingCapacity[]> {
     const { ledger, machineTypes } = this.context.state();
-    const requested: PendingCapacity[] = [];
-    const add = ({ machineType, zone, spot, count }: ScaleOutPlan): void => {
+    const requested = new Map<number, PendingCapacity[]>();
+    const add = ({ machineType, zone, spot, shard, count: machineCount }: PlannedScaleOut): void => {
       const type = machineTypes.get(machineType);
-      if (type) requested.push({ machineType, zone, spot, machineCount: count, free: resourcesOf(type) });
+      if (!type) return;
+      const group = { machineType, zone, spot, machineCount, free: resourcesOf(type) };
+      const groups = requested.get(shard);
+      if (groups) groups.push(group);
+      else requested.set(shard, [group]);
     };
-    for (const scaleOut of ledger.pendingScaleOuts.values()) if (scaleOut.shard === shard) add(scaleOut);
-    for (const [, machineType, zone, spot, count, requestedShard] of this.context.changes.scaleOuts) {
-      if (requestedShard === shard) add({ machineType, zone, spot, count });
-    }
+    for (const scaleOut of ledger.pendingScaleOuts.values()) add(scaleOut);
+    for (const [, machineType, zone, spot, count, shard] of this.context.changes.scaleOuts)
+      add({ machineType, zone, spot, shard, count });
     return requested;
   }
 
-  private addRequests(
-    { machineType, zone, spot, count }: ScaleOutPlan,
-    shard: number,
-    proof: TermProof,
-  ): void {
+  private addRequest({ machineType, zone, spot, count, shard }: PlannedScaleOut, proof: TermProof): void {
     const { changes, log } = this.context;
-    // The size of a request is limited, so larger plans are split. Using a more expensive offer for the rest instead
-    // would cost more every hour.
-    for (let remaining = count; remaining > 0; remaining -= MAX_MACHINES_PER_REQUEST) {
-      const requested = Math.min(remaining, MAX_MACHINES_PER_REQUEST);
-      const requestId = this.nextRequestId(proof.term);
-      changes.addScaleOut([requestId, machineType, zone, spot, requested, shard]);
-      log.info({ requestId, machineType, zone, spot, count: requested, shard }, 'scale-out requested');
-    }
+    const requestId = this.nextRequestId(proof.term);
+    changes.addScaleOut([requestId, machineType, zone, spot, count, shard]);
+    log.info({ requestId, machineType, zone, spot, count, shard }, 'scale-out requested');
   }
 
   /**
--- a/packages/scheduling/forecaster.ts
+++ b/packages/scheduling/forecaster.ts
@@ -7,6 +7,7 @@
 import type { RoundInputBuilder } from './round-input-builder.js';
 import type { RunTimeEstimator } from './run-time-estimator.js';
 import type { Scheduler } from './scheduler.js';
+import { UnusedGuarantees } from './unused-guarantees.js';
 
 /** Capacity counts as pending if the task that uses it is expected to end within this time. */
 const PENDING_CAPACITY_HORIZON: Micros = 10 * SECOND;
@@ -76,17 +77,29 @@
   }
 
   /**
-   * Returns the part of an unmet demand that justifies scaling out. If the objectives or the deadline of the job allow
-   * its tasks to wait, one slot can run several short tasks in sequence, so fewer slots are requested than tasks.
+   * Returns the part of each unmet demand that justifies scaling out, and how many of its tasks lie within the guarantee
+   * of their team. The demands are those of one owner, most urgent first.
    */
-  scaleOutDemand(demand: UnmetDemand): UnmetDemand {
-    const { job, count } = demand;
+  scaleOutDemands(demands: readonly UnmetDemand[]): UnmetDemand[] {
+    const { settings, replica } = this.options;
+    const unusedGuarantees = new UnusedGuarantees(settings.teams, replica.ledger);
+    return demands.map((demand) => {
+      const count = this.requiredSlots(demand);
+      return { ...demand, count, guaranteedCount: unusedGuarantees.allocate(demand.job, count) };
+    });
+  }
+
+  /**
+   * Returns the number of slots that an unmet demand justifies. If the objectives or the deadline of the job allow its
+   * tasks to wait, one slot can run several short tasks in sequence, so fewer slots are requested than tasks.
+   */
+  private requiredSlots({ job, count }: UnmetDemand): number {
     const spec = this.options.replica.jobs.get(job.id)?.spec;
     // All tasks of a gang run at the same time, so they cannot share a slot.
-    if (!spec || job.isGang) return demand;
+    if (!spec || job.isGang) return count;
     const runTime = this.options.runTimeEstimator.expectedRunTime(spec);
     const timeLeft = Math.max(runTime, this.tolerableWait(spec, runTime));
-    return { job, count: Math.ceil((count * runTime) / Math.max(timeLeft, 1)) };
+    return Math.ceil((count * runTime) / Math.max(timeLeft, 1));
   }
 
   private forecastOwner(member: string, shards: readonly number[]): OwnerForecast {
