Fleet: pending changes by key instead of in lists

Need: each settled request and each adopted machine was looked up in lists of all pending changes, and each committed record compared with them row by row: the work of the leader grew with the square of what is pending, such as 6,000 requests of an unbounded demand. Change: PendingFleetChanges keeps maps and sets. What is drafted, dropped and kept is the same. Result: tests of fleet, huge demand and random roles pass; the mutations of request ids and of recorded changes are caught.

--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -70,7 +70,7 @@
   }
 
   private pendingRequestCount(): number {
-    return this.context.state().ledger.pendingScaleOuts.size + this.context.changes.scaleOuts.length;
+    return this.context.state().ledger.pendingScaleOuts.size + this.context.changes.scaleOutCount;
   }
 
   /** Returns the machines of planned and recorded requests that are not settled yet. Keyed by shard. */
