Scale-out: withdraw requests whose demand is gone

Callers saw: after a cloud outage machines were rented, and paid, for jobs that had been cancelled meanwhile. Cause: a recorded request was repeated until it was answered or 20 s old, whether any task still needed it. With an unbounded demand these are as many as may be pending, 50 machines each, and a successor repeated them too. Fix: the plan reports the pending capacity that no task needs. A recorded request of it is settled unless the cloud may have executed it (an attempt of this process without an answer), which fleet/scale-out-attempts.ts tracks. If an earlier leader's request is executed after all, its machines appear in the list and are adopted, as for a request that timed out. Requests are matched with demand before capacity that running tasks are about to free, so that a forecast of that capacity withdraws none. The fleet test's records carry the time of its clock now: with time 0 every request was too old at its first attempt.

--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -5,7 +5,7 @@
 import type { PendingJob } from '#pricing';
 import { RoleRegistry, FencedCloud } from '#roles';
 import { SimClock } from '#testkit';
-import { type ListedMachine, type MachineType, type Micros, type ScaleOutRequest, SECOND } from '#wire';
+import { type ListedMachine, type MachineType, type Micros, MS, type ScaleOutRequest, SECOND } from '#wire';
 import type { FleetState, ShardDemand } from './fleet-context.js';
 import { FleetManager } from './fleet-manager.js';
 import type { UnmetDemand } from './offers.js';
@@ -64,6 +64,8 @@
   respond: (request: ScaleOutRequest) => ScaleOutResult = () => ({ kind: 'unknown' });
   demands: ShardDemand[] = [];
   readonly manager: FleetManager;
+  /** Returns the wall-clock time in milliseconds. */
+  private readonly wallMs: () => number;
   private recordCount = 0;
 
   constructor(machineTypes: readonly MachineType[] = []) {
@@ -74,6 +76,7 @@
       0,
       0,
     );
+    this.wallMs = () => Math.floor(clock.wall() / MS);
     const holder = { member: 'node-0', nonce: 'ours', term: 1 };
     const source = { holders: () => new Map([['lead' as const, holder]]), isOurs: () => true };
     const registry = new RoleRegistry({ source, clock, keyOf: () => 'lead', leaseDuration: 3600 * SECOND });
@@ -122,7 +125,7 @@
       await this.clock.run(this.clock.time + SECOND, () => undefined);
       const draft = this.manager.draft();
       if (!Object.values(draft).some((rows) => Array.isArray(rows) && rows.length > 0)) continue;
-      this.ledger.apply('lead', { ...draft, sequence: ++this.recordCount, recordedAtMs: 0 });
+      this.ledger.apply('lead', { ...draft, sequence: ++this.recordCount, recordedAtMs: this.wallMs() });
       this.manager.onRecordCommitted(draft);
       this.mostPendingRequests = Math.max(this.mostPendingRequests, this.ledger.pendingScaleOuts.size);
     }
@@ -137,7 +140,7 @@
   recordRequests(requests: readonly ScaleOutRow[]): void {
     this.ledger.apply('lead', {
       sequence: ++this.recordCount,
-      recordedAtMs: this.clock.time / 1000,
+      recordedAtMs: this.wallMs(),
       scaleOuts: [...requests],
     });
   }
@@ -233,3 +236,34 @@
   assert.ok(fleet.mostPendingRequests <= 4 * CLOUD_REQUEST_RATE);
   assert.equal(fleet.ledger.pendingScaleOuts.size, 0);
 });
+
+// Guards against machines that are rented for nobody: after a cloud outage the requests of cancelled jobs were repeated.
+test('requests that the cloud has not executed are withdrawn when their demand vanishes', async () => {
+  const fleet = new FleetHarness([SMALL]);
+  fleet.respond = () => ({ kind: 'failed' });
+  fleet.demands = [shardDemand(0, [{ job: SWEEP, count: 100_000 }])];
+  await fleet.run(6 * SECOND);
+  assert.ok(fleet.ledger.pendingScaleOuts.size > 1);
+  fleet.demands = [shardDemand(0, [{ job: SWEEP, count: 10 }])];
+  await fleet.run(3 * SECOND);
+  assert.equal(fleet.ledger.pendingScaleOuts.size, 1);
+  fleet.demands = [shardDemand(0, [])];
+  fleet.respond = () => ({ kind: 'rented', hosts: ['n-1'] });
+  await fleet.run(10 * SECOND);
+  assert.equal(fleet.ledger.pendingScaleOuts.size, 0);
+  assert.equal(fleet.ledger.machines.size, 0);
+});
+
+test('a request that may have been executed is repeated until it is answered, although its demand is gone', async () => {
+  const fleet = new FleetHarness([SMALL]);
+  fleet.demands = [shardDemand(0, [{ job: { ...SWEEP, zone: 'east' }, count: 10 }])];
+  await fleet.run(3 * SECOND);
+  fleet.demands = [shardDemand(0, [])];
+  fleet.respond = () => ({ kind: 'failed' });
+  await fleet.run(6 * SECOND);
+  assert.equal(fleet.ledger.pendingScaleOuts.size, 1);
+  fleet.respond = () => ({ kind: 'rented', hosts: ['n-1'] });
+  await fleet.run(4 * SECOND);
+  assert.equal(fleet.ledger.pendingScaleOuts.size, 0);
+  assert.ok(fleet.ledger.machines.has('n-1'));
+});
--- a/packages/fleet/pending-capacity.ts
+++ b/packages/fleet/pending-capacity.ts
@@ -16,7 +16,8 @@
 
 /** Returns a copy that can be allocated without a change of the original. */
 export function copyPending(group: PendingCapacity): PendingCapacity {
-  return { ...group, free: { ...group.free } };
+  const { machineType, zone, spot, machineCount, free } = group;
+  return { machineType, zone, spot, machineCount, free: { ...free } };
 }
 
 /**
--- a/packages/fleet/scale-out-planner.test.ts
+++ b/packages/fleet/scale-out-planner.test.ts
@@ -3,6 +3,7 @@
 import { Worker } from 'node:worker_threads';
 import type { PendingJob } from '#pricing';
 import { offerKey } from './offers.js';
+import type { PendingCapacity } from './pending-capacity.js';
 import { planScaleOut, type ScaleOutInput } from './scale-out-planner.js';
 import type { ShardScaleOut } from './shard-scale-out-planner.js';
 
@@ -52,7 +53,7 @@
 /** Returns the planned number of machines of each offer, in the order in which the offers are first requested. */
 function planOffers(input: PlanInput): { machineType: string; zone: string; spot: boolean; count: number }[] {
   const counts = new Map<string, { machineType: string; zone: string; spot: boolean; count: number }>();
-  for (const { machineType, zone, spot, count } of planScaleOut(shardInput(input))) {
+  for (const { machineType, zone, spot, count } of planScaleOut(shardInput(input)).requests) {
     assert.ok(count <= 50, `${count} machines in one request`);
     const offer = counts.get(offerKey({ machineType, zone, spot }));
     if (offer) offer.count += count;
@@ -146,8 +147,9 @@
       return false;
     };
     const unmetDemand = [{ job: { ...GUEST, pendingTaskCount: count }, count }];
-    const requests = planScaleOut(shardInput({ unmetDemand, isBackedOff, maxRequests: 8 })).length;
-    return { requests, offersCompared };
+    const input = shardInput({ unmetDemand, isBackedOff, maxRequests: 8 });
+    const { requests } = planScaleOut(input);
+    return { requests: requests.length, offersCompared };
   };
   const huge = countWork(100_000);
   assert.equal(huge.requests, 8);
@@ -159,7 +161,7 @@
   const guaranteed = { job: job({ zone: 'west' }), count: 60, guaranteedCount: 60 };
   const guest = { job: { ...GUEST, zone: 'east' }, count: 100_000 };
   const isBackedOff = (): boolean => false;
-  const requests = planScaleOut({
+  const { requests } = planScaleOut({
     types: [SMALL],
     shards: [
       { shard: 0, unmetDemand: [guest], pendingCapacity: [], isBackedOff },
@@ -183,7 +185,7 @@
     { job: { ...GUEST, zone: 'east' }, count: 100_000 },
     { job: job({ zone: 'west' }), count: 70 },
   ];
-  const requests = planScaleOut(shardInput({ unmetDemand, maxRequests: 4 }));
+  const { requests } = planScaleOut(shardInput({ unmetDemand, maxRequests: 4 }));
   assert.deepEqual(
     requests.map(({ zone, count }) => [zone, count]),
     [
@@ -209,7 +211,7 @@
     { job: job(), count: 5, guaranteedCount: 3 },
     { job: job({ id: 'j-2', team: 'green', zone: 'west' }), count: 1, guaranteedCount: 1 },
   ];
-  const requests = planScaleOut(shardInput({ unmetDemand, pendingCapacity, maxRequests: 2 }));
+  const { requests } = planScaleOut(shardInput({ unmetDemand, pendingCapacity, maxRequests: 2 }));
   assert.deepEqual(
     requests.map(({ zone, count }) => [zone, count]),
     [
@@ -218,3 +220,14 @@
     ],
   );
 });
+
+test('reports the pending capacity that no task needs', () => {
+  const machines = (zone: string, machineCount: number): PendingCapacity => {
+    return { machineType: 'small', zone, spot: true, machineCount, free: { cpus: 4, gpus: 0, memGb: 16 } };
+  };
+  const pendingCapacity = [machines('east', 2), machines('west', 50), machines('west', 50)];
+  const unmetDemand = [{ job: job(), count: 3 }];
+  const { requests, unusedCapacity } = planScaleOut(shardInput({ unmetDemand, pendingCapacity }));
+  assert.deepEqual(requests, []);
+  assert.deepEqual(unusedCapacity, [pendingCapacity[2]]);
+});
--- a/packages/fleet/scale-out-planner.ts
+++ b/packages/fleet/scale-out-planner.ts
@@ -4,6 +4,7 @@
  */
 import { MAX_MACHINES_PER_REQUEST } from '#cloud';
 import type { MachineType } from '#wire';
+import type { PendingCapacity } from './pending-capacity.js';
 import { type PlannedScaleOut, ScaleOutBatch } from './scale-out-batch.js';
 import { type OpenDemand, type ShardScaleOut, ShardScaleOutPlanner } from './shard-scale-out-planner.js';
 
@@ -17,18 +18,28 @@
   readonly maxRequests: number;
 }
 
+/** Result of {@link planScaleOut}. */
+export interface ScaleOutPlan {
+  /** Requests in the order in which they are to be sent. */
+  readonly requests: readonly PlannedScaleOut[];
+  /** Pending capacity of the input that no task needs. */
+  readonly unusedCapacity: readonly PendingCapacity[];
+}
+
 /**
  * Plans the requests for tasks that pending capacity will not take either. Each task gets the feasible offer that is
  * cheapest per task; offers of equal price are spread over the zones.
  */
-export function planScaleOut(input: ScaleOutInput): PlannedScaleOut[] {
+export function planScaleOut(input: ScaleOutInput): ScaleOutPlan {
   const batch = new ScaleOutBatch(input.maxRequests);
-  const demands = input.shards.flatMap((shard) =>
-    new ShardScaleOutPlanner(shard, { ...input, batch }).openDemands(),
-  );
+  const planners = input.shards.map((shard) => new ShardScaleOutPlanner(shard, { ...input, batch }));
+  const demands = planners.flatMap((planner) => planner.openDemands());
   planInTurns(demands, 'guaranteed');
   planInTurns(demands, 'others');
-  return batch.requests;
+  return {
+    requests: batch.requests,
+    unusedCapacity: planners.flatMap((planner) => planner.unusedCapacity()),
+  };
 }
 
 /** Plans one kind of tasks of all demands. The teams take turns, each with one request's worth of machines. */
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -6,25 +6,20 @@
 import type { FleetContext, ShardDemand } from './fleet-context.js';
 import type { MachineAdoption } from './machine-adoption.js';
 import { summarizeMachines } from './machine-summary.js';
-import { resourcesOf } from './offers.js';
-import type { PendingCapacity } from './pending-capacity.js';
+import { RequestedCapacity, requestedCapacity } from './requested-capacity.js';
+import { ScaleOutAttempts } from './scale-out-attempts.js';
 import type { PlannedScaleOut } from './scale-out-batch.js';
 import { planScaleOut } from './scale-out-planner.js';
 
 /** There are at most as many unsettled requests as the cloud accepts in this time. */
 const REQUEST_WINDOW: Micros = 4 * SECOND;
-/** Time between two attempts of the same request. */
-const SCALE_OUT_RETRY_INTERVAL: Micros = 2 * SECOND;
-/** Time beyond the retry interval after which the next attempt is made although the last one has no response yet. */
-const RESPONSE_TIMEOUT: Micros = 5 * SECOND;
 /** A request without a conclusive response is abandoned after this time. */
 const SCALE_OUT_TIMEOUT: Micros = 20 * SECOND;
 
 /** Plans, records and sends scale-out requests. */
 export class ScaleOutRequests {
   private readonly backoff: CapacityBackoff;
-  /** Time from which a request may be sent again. Keyed by request ID. */
-  private readonly nextAttemptAt = new Map<string, Micros>();
+  private readonly attempts: ScaleOutAttempts;
   /** Number of requests that this process has planned in all of its terms. */
   private requestCount = 0;
 
@@ -33,35 +28,65 @@
     private readonly adoption: MachineAdoption,
   ) {
     this.backoff = new CapacityBackoff(context.clock);
+    this.attempts = new ScaleOutAttempts(context.clock);
   }
 
   beginTerm(): void {
-    this.nextAttemptAt.clear();
+    this.attempts.clear();
     this.backoff.clear();
   }
 
-  /** Plans requests for the unmet demand of all shards. They are sent after they are recorded. */
+  /**
+   * Plans requests for the unmet demand of all shards, and withdraws those that it no longer justifies. New requests
+   * are sent after they are recorded.
+   */
   plan(demands: readonly ShardDemand[], termProof: TermProof): void {
-    if (demands.every(({ unmetDemand }) => unmetDemand.length === 0)) return;
+    const { ledger, machineTypes } = this.context.state();
+    const hasDemand = demands.some(({ unmetDemand }) => unmetDemand.length > 0);
+    if (!hasDemand && ledger.pendingScaleOuts.size === 0) return;
     const { machinesPerZone, booting } = summarizeMachines(this.context);
-    const requested = this.requestedCapacity();
-    const requests = planScaleOut({
-      types: [...this.context.state().machineTypes.values()],
+    const requested = requestedCapacity(this.context);
+    const { requests, unusedCapacity } = planScaleOut({
+      types: [...machineTypes.values()],
       shards: demands.map(({ shard, unmetDemand, pendingCapacity, canReach }) => ({
         shard,
         unmetDemand,
-        pendingCapacity: [...pendingCapacity, ...(booting.get(shard) ?? []), ...(requested.get(shard) ?? [])],
+        // Requests come before capacity that is about to become free, so that none is withdrawn for such a forecast.
+        pendingCapacity: [...(booting.get(shard) ?? []), ...(requested.get(shard) ?? []), ...pendingCapacity],
         isBackedOff: (offer) => this.backoff.isBackedOff(offer) || !canReach(offer.zone),
       })),
       machinesPerZone,
       maxRequests: this.maxPendingRequests() - this.pendingRequestCount(),
     });
     for (const request of requests) this.addRequest(request, termProof);
+    for (const group of unusedCapacity)
+      if (group instanceof RequestedCapacity) this.withdrawUnsent(group.requestId);
   }
 
   /** Sends the recorded requests whose next attempt is due. */
   sendAll(termProof: TermProof): void {
-    for (const id of this.context.state().ledger.pendingScaleOuts.keys()) void this.send(id, termProof);
+    const { state, changes } = this.context;
+    for (const id of state().ledger.pendingScaleOuts.keys()) {
+      if (!changes.isScaleOutSettled(id)) void this.send(id, termProof);
+    }
+  }
+
+  /** Withdraws a recorded request that no demand justifies any more, unless the cloud may have executed it. */
+  private withdrawUnsent(requestId: string): void {
+    const { state, changes } = this.context;
+    const isRecorded = state().ledger.pendingScaleOuts.has(requestId);
+    if (!isRecorded || changes.isScaleOutSettled(requestId) || this.attempts.mayBeExecuted(requestId)) return;
+    this.withdraw(requestId, 'demand is gone');
+  }
+
+  /**
+   * Settles a request without an answer. If an earlier leader sent it, and the cloud executes it after all, the machines
+   * appear in the list and are adopted then.
+   */
+  private withdraw(requestId: string, reason: string): void {
+    this.context.changes.settleScaleOut(requestId);
+    this.attempts.forget(requestId);
+    this.context.log.info({ requestId, reason }, 'scale-out withdrawn');
   }
 
   /** Returns how many requests may be recorded or planned, and not settled, at the same time. */
@@ -73,24 +98,6 @@
     return this.context.state().ledger.pendingScaleOuts.size + this.context.changes.scaleOutCount;
   }
 
-  /** Returns the machines of planned and recorded requests that are not settled yet. Keyed by shard. */
-  private requestedCapacity(): Map<number, PendingCapacity[]> {
-    const { ledger, machineTypes } = this.context.state();
-    const requested = new Map<number, PendingCapacity[]>();
-    const add = ({ machineType, zone, spot, shard, count: machineCount }: PlannedScaleOut): void => {
-      const type = machineTypes.get(machineType);
-      if (!type) return;
-      const group = { machineType, zone, spot, machineCount, free: resourcesOf(type) };
-      const groups = requested.get(shard);
-      if (groups) groups.push(group);
-      else requested.set(shard, [group]);
-    };
-    for (const scaleOut of ledger.pendingScaleOuts.values()) add(scaleOut);
-    for (const [, machineType, zone, spot, count, shard] of this.context.changes.scaleOuts)
-      add({ machineType, zone, spot, shard, count });
-    return requested;
-  }
-
   private addRequest({ machineType, zone, spot, count, shard }: PlannedScaleOut, proof: TermProof): void {
     const { changes, log } = this.context;
     const requestId = this.nextRequestId(proof.term);
@@ -107,26 +114,25 @@
   }
 
   private async send(id: string, termProof: TermProof): Promise<void> {
-    const { cloud, clock, state } = this.context;
+    const { cloud, state } = this.context;
     const scaleOut = state().ledger.pendingScaleOuts.get(id);
-    if (!scaleOut || !this.isDue(id)) return;
-    this.nextAttemptAt.set(id, clock.now() + SCALE_OUT_RETRY_INTERVAL + RESPONSE_TIMEOUT);
+    if (!scaleOut || !this.attempts.isDue(id)) return;
+    const endAttempt = this.attempts.begin(id);
     const result = await cloud.requestMachines(termProof, ScaleOutIntent.fromRecord(scaleOut));
-    if (result.kind === 'superseded' || !state().ledger.pendingScaleOuts.has(id)) return;
-    this.nextAttemptAt.set(id, clock.now() + SCALE_OUT_RETRY_INTERVAL);
+    if (result.kind === 'superseded') return;
+    if (!state().ledger.pendingScaleOuts.has(id)) {
+      this.attempts.forget(id);
+      return;
+    }
+    endAttempt(result.kind === 'failed');
     if (!this.applyResult(scaleOut, result)) return;
     // A request whose response was lost may still have started machines. They appear in the list and are adopted then.
     this.context.changes.settleScaleOut(id);
-    this.nextAttemptAt.delete(id);
+    this.attempts.forget(id);
     this.context.log.info({ requestId: id, result }, 'scale-out answered');
     this.context.requestRound();
   }
 
-  private isDue(id: string): boolean {
-    const isWaiting = (this.nextAttemptAt.get(id) ?? -Infinity) > this.context.clock.now();
-    return !isWaiting && !this.context.changes.isScaleOutSettled(id);
-  }
-
   /** Adopts the new machines, and backs off if there are too few. Returns true if the request is settled. */
   private applyResult(scaleOut: PendingScaleOut, result: FencedScaleOutResult): boolean {
     const { machineType, zone, spot, shard, count } = scaleOut;
@@ -140,6 +146,10 @@
       this.backoff.onInsufficientCapacity(scaleOut);
       return true;
     }
-    return this.context.clock.wall() - scaleOut.requestedAtMs * MS >= SCALE_OUT_TIMEOUT;
+    return this.isTimedOut(scaleOut);
+  }
+
+  private isTimedOut({ requestedAtMs }: PendingScaleOut): boolean {
+    return this.context.clock.wall() - requestedAtMs * MS >= SCALE_OUT_TIMEOUT;
   }
 }
--- a/packages/fleet/shard-scale-out-planner.ts
+++ b/packages/fleet/shard-scale-out-planner.ts
@@ -69,6 +69,9 @@
 /** Plans the machines of one shard. */
 export class ShardScaleOutPlanner {
   private readonly machinesPerZone: Map<string, number>;
+  /** Copies of the given groups of pending capacity, in the same order. They change once they are allocated. */
+  private readonly originalGroups: readonly PendingCapacity[];
+  /** These groups, and further ones: parts that were split off, and planned machines. */
   private readonly pendingCapacity: PendingCapacity[];
   /** The group of planned machines that was added last. Keyed by offer. */
   private readonly lastPlanned = new Map<string, PendingCapacity>();
@@ -78,7 +81,8 @@
     private readonly options: ScaleOutPlannerOptions,
   ) {
     this.machinesPerZone = new Map(options.machinesPerZone);
-    this.pendingCapacity = shard.pendingCapacity.map(copyPending);
+    this.originalGroups = shard.pendingCapacity.map(copyPending);
+    this.pendingCapacity = [...this.originalGroups];
   }
 
   /** Allocates the pending capacity to the unmet demand, in its order. Returns the demand that is left. */
@@ -115,6 +119,14 @@
     return demand[kind] > 0;
   }
 
+  /** Returns the groups of the given pending capacity of which no machine is allocated. */
+  unusedCapacity(): PendingCapacity[] {
+    return this.shard.pendingCapacity.filter((original, i) => {
+      const copy = this.originalGroups[i];
+      return copy?.machineCount === original.machineCount && isSameCapacity(copy.free, original.free);
+    });
+  }
+
   private capacityOf({ machineType }: Offer): Resources {
     return resourcesOf(this.options.types.find((type) => type.name === machineType)!);
   }
--- a/packages/testkit/huge-demand.test.ts
+++ b/packages/testkit/huge-demand.test.ts
@@ -91,3 +91,29 @@
   await cluster.run(240 * SECOND);
   for (const id of ids) assert.equal(cluster.lastStatuses.get(id), 'done', id);
 });
+
+// Guards against machines that are rented for nobody once the cloud is back: the successor repeated all requests.
+test('sweeps that are cancelled during a cloud outage leave no requests, also after a failover', async () => {
+  const cluster = createCluster(93);
+  await cluster.run(3 * SECOND);
+  cluster.cloud.isUnavailable = true;
+  const ids = submitSweeps(cluster, 100_000);
+  await runAndWatchRequests(cluster, 4 * SECOND);
+  assert.ok(pendingRequests(cluster) > 0, 'no request is under way');
+  const leader = leaderOf(cluster);
+  cluster.killNode(leader);
+  for (const id of ids) assert.equal(await cancelled(cluster, id, (leader + 1) % 3), 200);
+  await runAndWatchRequests(cluster, 10 * SECOND);
+  cluster.cloud.isUnavailable = false;
+  cluster.startNode(leader);
+  await runAndWatchRequests(cluster, 20 * SECOND);
+  assert.equal(pendingRequests(cluster), 0);
+  assert.equal(cluster.cloud.hosts.size, 0, 'machines were rented for cancelled jobs');
+});
+
+/** Cancels the job at the node while the cluster runs on. Resolves to the status of the response. */
+async function cancelled(cluster: SimCluster, id: string, node: number): Promise<number> {
+  const response = cluster.cancelJob(id, node);
+  await cluster.run(SECOND);
+  return response;
+}
