Scale-out: a new leader sends recorded requests a few at a time

Cause: at each step all recorded requests were sent at once, each with a connection, a body and a timer in memory, and most of them were refused for the rate limit of the cloud, which lists and deletions of machines need too. Fix: those recorded first are sent, as many as may be pending; the others follow as these are settled.

--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -61,7 +61,9 @@
   deleted: string[] = [];
   /** Requests that were sent. */
   requests: ScaleOutRequest[] = [];
-  respond: (request: ScaleOutRequest) => ScaleOutResult = () => ({ kind: 'unknown' });
+  respond: (request: ScaleOutRequest) => ScaleOutResult | Promise<ScaleOutResult> = () => ({
+    kind: 'unknown',
+  });
   demands: ShardDemand[] = [];
   readonly manager: FleetManager;
   /** Returns the wall-clock time in milliseconds. */
@@ -267,3 +269,27 @@
   assert.equal(fleet.ledger.pendingScaleOuts.size, 0);
   assert.ok(fleet.ledger.machines.has('n-1'));
 });
+
+// Guards against a successor that sends thousands of requests at once, each with a connection and a body in memory.
+test('of thousands of recorded requests a new leader sends only as many at a time as may be pending', async () => {
+  const fleet = new FleetHarness([{ ...SMALL, zones: ['east'] }]);
+  const requestCount = 1000;
+  fleet.recordRequests(
+    [...Array(requestCount).keys()].map((i): ScaleOutRow => [`hire-${i}`, 'small', 'east', true, 50, 0]),
+  );
+  fleet.demands = [shardDemand(0, [{ job: SWEEP, count: 100_000 }])];
+  let unanswered = 0;
+  let mostUnanswered = 0;
+  fleet.respond = async () => {
+    mostUnanswered = Math.max(mostUnanswered, ++unanswered);
+    await new Promise<void>((resolve) => fleet.clock.at(SECOND / 2, resolve));
+    unanswered--;
+    return { kind: 'no_capacity' };
+  };
+  await fleet.run(15 * SECOND);
+  assert.equal(mostUnanswered, 4 * CLOUD_REQUEST_RATE);
+  // The others are abandoned after the time in which each of them would have been repeated.
+  await fleet.run(15 * SECOND);
+  assert.ok(fleet.ledger.pendingScaleOuts.size <= 4 * CLOUD_REQUEST_RATE);
+  assert.ok(fleet.requests.length < requestCount, 'all requests were sent');
+});
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -63,11 +63,18 @@
       if (group instanceof RequestedCapacity) this.withdrawUnsent(group.requestId);
   }
 
-  /** Sends the recorded requests whose next attempt is due. */
+  /**
+   * Sends the recorded requests whose next attempt is due. An earlier leader may have recorded more than may be pending.
+   * Those recorded first are sent; the others follow as these are settled, or are abandoned after the same time.
+   */
   sendAll(termProof: TermProof): void {
     const { state, changes } = this.context;
-    for (const id of state().ledger.pendingScaleOuts.keys()) {
-      if (!changes.isScaleOutSettled(id)) void this.send(id, termProof);
+    let remaining = this.maxPendingRequests();
+    for (const scaleOut of state().ledger.pendingScaleOuts.values()) {
+      if (changes.isScaleOutSettled(scaleOut.id)) continue;
+      if (remaining > 0) void this.send(scaleOut.id, termProof);
+      else if (this.isTimedOut(scaleOut)) this.withdraw(scaleOut.id, 'timed out');
+      remaining--;
     }
   }
 
