Scale-out: machines on their way to any shard of the owner count

Cause: the demand of an owner covers the teams of all of its shards, but only booting and requested machines of its first shard were matched with it. After a failover an owner has several shards, and what is on its way to the others did not count. Evidence: an owner of shards 0 and 2 with a demand of 100 machines, 50 booting and 50 requested in shard 2: three more requests. Fix: the demand names all shards of its owner, and the machines on their way to any of them are matched with it.

--- a/packages/daemon/machine-rebalancer.ts
+++ b/packages/daemon/machine-rebalancer.ts
@@ -67,6 +67,7 @@
     const { forecaster } = this.options;
     return forecasts.map(({ member, shards, pendingCapacity }) => ({
       shard: shards[0] ?? 0,
+      ownedShards: shards,
       unmetDemand: forecaster.scaleOutDemands(unmetDemand.get(member) ?? []),
       pendingCapacity,
       canReach: (zone) => reachability.canReach(member, zone),
--- a/packages/fleet/fleet-context.ts
+++ b/packages/fleet/fleet-context.ts
@@ -25,14 +25,17 @@
   isInWarmPool: (host: string) => boolean;
 }
 
-/** Unmet demand of a shard as the leader forecasts it. */
+/** Unmet demand of a shard owner as the leader forecasts it. */
 export interface ShardDemand {
+  /** The shard that new machines will belong to. */
   shard: number;
+  /** All shards of the owner. A machine on its way to any of them will serve the demand. */
+  ownedShards: readonly number[];
   /** Pending tasks that justify machines, most urgent first. */
   unmetDemand: readonly UnmetDemand[];
-  /** Capacity that the running tasks of the shard's owner are about to free. */
+  /** Capacity that the running tasks of the owner are about to free. */
   pendingCapacity: readonly PendingCapacity[];
-  /** True if the node that owns the shard can reach workers in this zone. */
+  /** True if the owner's node can reach workers in this zone. */
   canReach: (zone: string) => boolean;
 }
 
--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -50,7 +50,7 @@
 };
 
 function shardDemand(shard: number, unmetDemand: UnmetDemand[]): ShardDemand {
-  return { shard, unmetDemand, pendingCapacity: [], canReach: () => true };
+  return { shard, ownedShards: [shard], unmetDemand, pendingCapacity: [], canReach: () => true };
 }
 
 /** A fleet manager that holds a term, with a cloud whose list of machines can be made unavailable. */
@@ -67,7 +67,7 @@
   demands: ShardDemand[] = [];
   readonly manager: FleetManager;
   /** Returns the wall-clock time in milliseconds. */
-  private readonly wallMs: () => number;
+  readonly wallMs: () => number;
   private recordCount = 0;
 
   constructor(machineTypes: readonly MachineType[] = []) {
@@ -133,8 +133,8 @@
     }
   }
 
-  addMachine(host: string): void {
-    const row: MachineRow = [host, 'small', 'east', false, 0, 0];
+  addMachine(host: string, shard = 0, acquiredAtMs = 0): void {
+    const row: MachineRow = [host, 'small', 'east', false, acquiredAtMs, shard];
     this.ledger.apply('lead', { sequence: ++this.recordCount, recordedAtMs: 0, machines: [row] });
   }
 
@@ -293,3 +293,15 @@
   assert.ok(fleet.ledger.pendingScaleOuts.size <= 4 * CLOUD_REQUEST_RATE);
   assert.ok(fleet.requests.length < requestCount, 'all requests were sent');
 });
+
+// Guards against machines that are rented twice after a failover: those on their way to the failed node's shard did not
+// count for the node that took it over.
+test('machines on their way to any shard of the owner serve its demand', async () => {
+  const fleet = new FleetHarness([{ ...SMALL, bootS: 600 }]);
+  fleet.listed = null;
+  for (let i = 0; i < 50; i++) fleet.addMachine(`n-${i}`, 2, fleet.wallMs());
+  fleet.recordRequests([['hire-0', 'small', 'east', true, 50, 2]]);
+  fleet.demands = [{ ...shardDemand(0, [{ job: SWEEP, count: 100 }]), ownedShards: [0, 2] }];
+  await fleet.run(3 * SECOND);
+  assert.deepEqual([...fleet.ledger.pendingScaleOuts.keys()], ['hire-0']);
+});
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -48,11 +48,15 @@
     const requested = requestedCapacity(this.context);
     const { requests, unusedCapacity } = planScaleOut({
       types: [...machineTypes.values()],
-      shards: demands.map(({ shard, unmetDemand, pendingCapacity, canReach }) => ({
+      shards: demands.map(({ shard, ownedShards, unmetDemand, pendingCapacity, canReach }) => ({
         shard,
         unmetDemand,
         // Requests come before capacity that is about to become free, so that none is withdrawn for such a forecast.
-        pendingCapacity: [...(booting.get(shard) ?? []), ...(requested.get(shard) ?? []), ...pendingCapacity],
+        pendingCapacity: [
+          ...ownedShards.flatMap((owned) => booting.get(owned) ?? []),
+          ...ownedShards.flatMap((owned) => requested.get(owned) ?? []),
+          ...pendingCapacity,
+        ],
         isBackedOff: (offer) => this.backoff.isBackedOff(offer) || !canReach(offer.zone),
       })),
       machinesPerZone,
