Scale-out: half of the pending requests are for guaranteed tasks alone

Callers saw: nothing yet; follows from the bound on unsettled requests. While the cloud answers none, a guest's requests fill the bound for up to 20 s, and a team within its guarantee would have waited for them. Cause: the bound did not tell guaranteed tasks from others once requests are pending. Fix: others get as many requests as the cloud accepts in 4 s, guaranteed tasks as many again. The bound stays a fact of the settings.

--- a/packages/fleet/scale-out-batch.ts
+++ b/packages/fleet/scale-out-batch.ts
@@ -10,13 +10,14 @@
   count: number;
 }
 
-/** Collects machines into requests, of which there are at most as many as the cloud answers soon. */
+/** Collects machines into requests. */
 export class ScaleOutBatch {
   readonly requests: PlannedScaleOut[] = [];
   /** The request that further machines of an offer are added to. Keyed by shard and offer. */
   private readonly openRequests = new Map<string, PlannedScaleOut>();
 
-  constructor(private readonly maxRequests: number) {}
+  /** `maxRequests`: the maximum number of requests, which may be changed between two machines. */
+  constructor(public maxRequests: number) {}
 
   /** Adds a machine. Returns false if that takes one more request than there may be. */
   addMachine(shard: number, offer: Offer): boolean {
--- a/packages/fleet/scale-out-planner.ts
+++ b/packages/fleet/scale-out-planner.ts
@@ -15,7 +15,15 @@
   /** Current number of machines in each zone, so that new machines go to zones with fewer. Keyed by zone. */
   readonly machinesPerZone: ReadonlyMap<string, number>;
   /** Maximum number of requests. Demand that they do not cover is planned again in a later step. */
-  readonly maxRequests: number;
+  readonly maxRequests: RequestLimits;
+}
+
+/** Maximum number of requests of one plan. */
+export interface RequestLimits {
+  /** For guaranteed tasks. It is the higher limit, so that other tasks can't take all requests. */
+  readonly guaranteed: number;
+  /** For all tasks together. It does not reduce what is planned for guaranteed tasks. */
+  readonly others: number;
 }
 
 /** Result of {@link planScaleOut}. */
@@ -31,10 +39,11 @@
  * cheapest per task; offers of equal price are spread over the zones.
  */
 export function planScaleOut(input: ScaleOutInput): ScaleOutPlan {
-  const batch = new ScaleOutBatch(input.maxRequests);
+  const batch = new ScaleOutBatch(input.maxRequests.guaranteed);
   const planners = input.shards.map((shard) => new ShardScaleOutPlanner(shard, { ...input, batch }));
   const demands = planners.flatMap((planner) => planner.openDemands());
   planInTurns(demands, 'guaranteed');
+  batch.maxRequests = input.maxRequests.others;
   planInTurns(demands, 'others');
   return {
     requests: batch.requests,
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -9,10 +9,12 @@
 import { RequestedCapacity, requestedCapacity } from './requested-capacity.js';
 import { ScaleOutAttempts } from './scale-out-attempts.js';
 import type { PlannedScaleOut } from './scale-out-batch.js';
-import { planScaleOut } from './scale-out-planner.js';
+import { planScaleOut, type RequestLimits } from './scale-out-planner.js';
 
 /** There are at most as many unsettled requests as the cloud accepts in this time. */
 const REQUEST_WINDOW: Micros = 4 * SECOND;
+/** While requests are pending for this multiple of that number, none is planned for guaranteed tasks either. */
+const GUARANTEED_FACTOR = 2;
 /** A request without a conclusive response is abandoned after this time. */
 const SCALE_OUT_TIMEOUT: Micros = 20 * SECOND;
 
@@ -60,7 +62,7 @@
         isBackedOff: (offer) => this.backoff.isBackedOff(offer) || !canReach(offer.zone),
       })),
       machinesPerZone,
-      maxRequests: this.maxPendingRequests() - this.pendingRequestCount(),
+      maxRequests: this.requestLimits(),
     });
     for (const request of requests) this.addRequest(request, termProof);
     for (const group of unusedCapacity)
@@ -73,7 +75,7 @@
    */
   sendAll(termProof: TermProof): void {
     const { state, changes } = this.context;
-    let remaining = this.maxPendingRequests();
+    let remaining = this.maxGuaranteedRequests();
     for (const scaleOut of state().ledger.pendingScaleOuts.values()) {
       if (changes.isScaleOutSettled(scaleOut.id)) continue;
       if (remaining > 0) void this.send(scaleOut.id, termProof);
@@ -100,13 +102,21 @@
     this.context.log.info({ requestId, reason }, 'scale-out withdrawn');
   }
 
+  private maxGuaranteedRequests(): number {
+    return GUARANTEED_FACTOR * this.maxPendingRequests();
+  }
+
   /** Returns how many requests may be recorded or planned, and not settled, at the same time. */
   private maxPendingRequests(): number {
     return Math.max(1, Math.floor((this.context.state().cloudRequestRate * REQUEST_WINDOW) / SECOND));
   }
 
-  private pendingRequestCount(): number {
-    return this.context.state().ledger.pendingScaleOuts.size + this.context.changes.scaleOutCount;
+  /** Returns how many requests may be planned in addition to those that are recorded or planned already. */
+  private requestLimits(): RequestLimits {
+    const pendingCount =
+      this.context.state().ledger.pendingScaleOuts.size + this.context.changes.scaleOutCount;
+    const others = this.maxPendingRequests() - pendingCount;
+    return { guaranteed: this.maxGuaranteedRequests() - pendingCount, others };
   }
 
   private addRequest({ machineType, zone, spot, count, shard }: PlannedScaleOut, proof: TermProof): void {
