Preemption: look at each machine once a request

On a fleet of 4,000 machines with free capacity, an urgent job of more tasks than a round starts blocked its owner for seconds, longer than a node's lease. Cause: for each task of a request all machines were looked at again, until as many machines as there are had been chosen: tasks that need no victim do not count against the limit of preemptions. Fix: the machines are looked at once and sorted by the number of their victims. What is preempted on one machine changes no other, so the choice is the same as before.

--- a/packages/pricing/preemption.test.ts
+++ b/packages/pricing/preemption.test.ts
@@ -62,3 +62,17 @@
   assert.deepEqual(preempted(high, { rank: 1 }), []);
   assert.deepEqual(preempted(high, { rank: 1, isWithinGuarantee: true }), ['a/0', 'a/1']);
 });
+
+// Guards against a round that takes seconds: all machines were looked at again for each task of a large request.
+test('looks at each machine once for a request of 100,000 tasks', () => {
+  let looks = 0;
+  const machines = [...Array(200).keys()].map((i) => ({
+    host: `n-${i}`,
+    freeResources: { cpus: 4, gpus: 0, memGb: 8 },
+    isAllowed: () => ++looks > 0,
+  }));
+  const victims = machines.map(({ host }) => victim(`a/${host}`, { host }));
+  const requests = [{ job: JOB, count: 100_000, rank: 2, isWithinGuarantee: false }];
+  assert.deepEqual(planPreemptions({ requests, machines, victims, maxPreemptions: 6 }), []);
+  assert.equal(looks, machines.length);
+});
--- a/packages/pricing/preemption.ts
+++ b/packages/pricing/preemption.ts
@@ -95,15 +95,15 @@
 
   /** Adds victims for as many of the request's tasks as possible; for a gang, for all of its tasks or none. */
   planRequest(request: PreemptionRequest): void {
-    const choices: MachineChoice[] = [];
-    while (choices.length < request.count) {
-      const choice = this.fewestVictims(request);
-      if (!choice || this.preempted.length + choice.victims.length > this.maxPreemptions) break;
+    const chosen: MachineChoice[] = [];
+    for (const choice of this.choicesFor(request)) {
+      if (chosen.length >= request.count) break;
+      if (this.preempted.length + choice.victims.length > this.maxPreemptions) break;
       this.addChoice(choice);
-      choices.push(choice);
+      chosen.push(choice);
     }
     // A gang cannot start with capacity for only a part of its tasks.
-    if (request.job.isGang && choices.length < request.count) this.revert(choices);
+    if (request.job.isGang && chosen.length < request.count) this.revert(chosen);
   }
 
   private addChoice({ host, victims }: MachineChoice): void {
@@ -119,16 +119,18 @@
     }
   }
 
-  /** Returns the first machine that needs the fewest victims for one task of the request; null if there is none. */
-  private fewestVictims(request: PreemptionRequest): MachineChoice | null {
-    let best: MachineChoice | null = null;
+  /**
+   * Returns the machines that can be freed for one task of the request, those with the fewest victims first. Each machine
+   * is looked at once, however many tasks the request has.
+   */
+  private choicesFor(request: PreemptionRequest): MachineChoice[] {
+    const choices: MachineChoice[] = [];
     for (const candidate of this.candidates) {
       if (this.usedHosts.has(candidate.host) || !candidate.isAllowed(request.job)) continue;
       const victims = victimsOn(candidate, request);
-      if (victims && (!best || victims.length < best.victims.length))
-        best = { host: candidate.host, victims };
+      if (victims) choices.push({ host: candidate.host, victims });
     }
-    return best;
+    return choices.sort((a, b) => a.victims.length - b.victims.length);
   }
 }
 
