Scale-out: several refusals at the same time back off as one

Cause: a large demand is sent as several requests for the same offer, and each refusal doubled the backoff: three at the same time reached its maximum of 40 s at once, meant for an offer that is refused again and again. Fix: a refusal while the offer is backed off answers a request that was sent before, and does not prolong the backoff.

--- a/packages/fleet/capacity-backoff.ts
+++ b/packages/fleet/capacity-backoff.ts
@@ -22,8 +22,12 @@
     return backoff !== undefined && backoff.until > this.clock.now();
   }
 
-  /** Starts a backoff after the cloud supplied too few machines. Its duration doubles each time, up to MAX_BACKOFF. */
+  /**
+   * Starts a backoff after the cloud supplied too few machines. Its duration doubles each time, up to MAX_BACKOFF. The
+   * answers to several requests that were sent before the backoff began tell the same, so they do not prolong it.
+   */
   onInsufficientCapacity(offer: Offer): void {
+    if (this.isBackedOff(offer)) return;
     const key = offerKey(offer);
     const lastDuration = this.backoffs.get(key)?.duration ?? INITIAL_BACKOFF / 2;
     const duration = Math.min(MAX_BACKOFF, lastDuration * 2);
