Transfers: owners that lack guaranteed CPUs get unused machines first

A team within its guarantee could wait for machines while a guest's job of 100,000 tasks got all that were unused. Cause: unused machines of other owners were given out owner by owner in the order of their names, to as many tasks as the owner asked for. Evidence: of three unused machines the guest's owner got all, the owner with a deficit of 8 CPUs none (test below on the commit before). Fix: owners choose in the order of their guarantee deficit; without deficits the order is as before. Test, red on the commit before: "unused capacity goes to an owner that lacks guaranteed CPUs before an owner with unbounded demand".

--- a/packages/fleet/transfer-planner.test.ts
+++ b/packages/fleet/transfer-planner.test.ts
@@ -25,9 +25,9 @@
   };
 }
 
-test('transfers unused capacity first, then by price and for guarantees; not if pinned or across partitions', () => {
+function machine(host: string, change: Partial<TransferCandidate> = {}): TransferCandidate {
   const total = { cpus: 4, gpus: 0, memGb: 16 };
-  const machine = (host: string, change: Partial<TransferCandidate> = {}): TransferCandidate => ({
+  return {
     host,
     machineType: 'small',
     zone: 'east',
@@ -38,7 +38,10 @@
     isPinned: false,
     busyFor: () => 0,
     ...change,
-  });
+  };
+}
+
+test('transfers unused capacity first, then by price and for guarantees; not if pinned or across partitions', () => {
   const owners = [
     {
       owner: 'a',
@@ -85,3 +88,21 @@
   assert.deepEqual(hosts(inDeficit), ['n-10', 'n-20']);
   assert.deepEqual(hosts(inDeficit.map((owner) => ({ ...owner, usageAboveGuarantee: 0 }))), []);
 });
+
+// Guards against a team that waits within its guarantee: a guest's unbounded demand took all unused machines, only
+// since the name of its owner came first.
+test('unused capacity goes to an owner that lacks guaranteed CPUs before an owner with unbounded demand', () => {
+  const demand = { price: 0, usageAboveGuarantee: 0 };
+  const guest = { job: job({ team: 'guest' }), count: 100_000 };
+  const { transfers } = planTransfers({
+    owners: [
+      { ...demand, owner: 'a', unmetDemand: [guest], guaranteeDeficit: 0 },
+      { ...demand, owner: 'b', unmetDemand: [{ job: job(), count: 2 }], guaranteeDeficit: 8 },
+    ],
+    machines: ['n-1', 'n-2', 'n-3'].map((host) => machine(host, { owner: 'c' })),
+    canReach: () => true,
+    minPriceGap: 0.5,
+    maxDeficitTransfers: 2,
+  });
+  assert.deepEqual(transfers.map(({ owner }) => owner).sort(), ['a', 'b', 'b']);
+});
--- a/packages/fleet/transfer-planner.ts
+++ b/packages/fleet/transfer-planner.ts
@@ -65,7 +65,9 @@
 /** Plans the transfers of a round. Each machine is transferred at most once. */
 export function planTransfers(input: TransferInput): TransferPlan {
   const planner = new TransferPlanner(input);
-  for (const owner of input.owners) planner.transferUnusedCapacity(owner);
+  // Owners that lack guaranteed CPUs choose first: one owner's large demand would take all unused capacity.
+  const byDeficit = [...input.owners].sort((a, b) => b.guaranteeDeficit - a.guaranteeDeficit);
+  for (const owner of byDeficit) planner.transferUnusedCapacity(owner);
   const byPrice = [...input.owners].sort((a, b) => b.price - a.price);
   for (const receiver of byPrice) planner.transferByPrice(receiver, byPrice);
   for (const receiver of byPrice) planner.transferForGuarantee(receiver);
