--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -2,9 +2,8 @@
 import { test } from 'node:test';
 import type { CloudClient, ScaleOutResult } from '#cloud';
 import { type MachineRow, Ledger, type ScaleOutRow } from '#cluster';
-import type { PendingJob } from '#pricing';
 import { RoleRegistry, FencedCloud } from '#roles';
-import { SimClock } from '#testkit';
+import { SAMPLE_TYPES, samplePendingJob, SimClock } from '#testkit';
 import { type ListedMachine, type MachineType, type Micros, MS, type ScaleOutRequest, SECOND } from '#wire';
 import type { FleetState, ShardDemand } from './fleet-context.js';
 import { FleetManager } from './fleet-manager.js';
@@ -19,37 +18,16 @@
 /** After this time every running machine is certain to be in the list, so the manager relies on its absence. */
 const LIST_COMPLETE_AFTER: Micros = 2 * LIST_LAG + 12 * SECOND;
 
-const SMALL: MachineType = {
-  name: 'small',
-  cpus: 4,
-  gpus: 0,
-  memGb: 16,
-  cacheGb: 40,
-  fetchGbPerS: 1,
-  price: 1,
-  spotPrice: 0.3,
-  bootS: 6,
-  zones: ['east', 'west'],
-};
+const [SMALL] = SAMPLE_TYPES as [MachineType];
 
 /** A job whose tasks need a machine each. */
-const SWEEP: PendingJob = {
-  id: 'j-1',
+const SWEEP = samplePendingJob({
   team: 'guest',
   taskResources: { cpus: 4, gpus: 0, memGb: 14 },
   priority: 1,
-  acceptanceOrder: 1,
   pendingTaskCount: 100_000,
   taskCount: 100_000,
-  isGang: false,
-  machineTypes: null,
-  zone: null,
-  singleZone: false,
-  spreadZones: false,
-  allowsSpot: true,
-  image: 'i',
-  placedByZone: new Map(),
-};
+});
 
 function shardDemand(shard: number, unmetDemand: UnmetDemand[]): ShardDemand {
   return { shard, ownedShards: [shard], unmetDemand, pendingCapacity: [], canReach: () => true };
--- a/packages/fleet/pending-capacity.test.ts
+++ b/packages/fleet/pending-capacity.test.ts
@@ -1,27 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { PendingJob } from '#pricing';
+import { samplePendingJob } from '#testkit';
 import { allocatePending, countFittingPending, type PendingCapacity } from './pending-capacity.js';
 
-function job(cpus: number, change: Partial<PendingJob> = {}): PendingJob {
-  return {
-    id: 'j-1',
-    team: 'blue',
-    taskResources: { cpus, gpus: 0, memGb: 1 },
-    priority: 2,
-    acceptanceOrder: 1,
-    pendingTaskCount: 9,
-    taskCount: 9,
-    isGang: false,
-    machineTypes: null,
-    zone: null,
-    singleZone: false,
-    spreadZones: false,
-    allowsSpot: true,
-    image: 'i',
-    placedByZone: new Map(),
-    ...change,
-  };
+function job(cpus: number): PendingJob {
+  return samplePendingJob({ taskResources: { cpus, gpus: 0, memGb: 1 } });
 }
 
 function machines(machineCount: number, change: Partial<PendingCapacity> = {}): PendingCapacity {
--- a/packages/fleet/scale-out-planner.test.ts
+++ b/packages/fleet/scale-out-planner.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Worker } from 'node:worker_threads';
-import type { PendingJob } from '#pricing';
+import { samplePendingJob } from '#testkit';
 import { offerKey } from './offers.js';
 import type { PendingCapacity } from './pending-capacity.js';
 import { planScaleOut, type ScaleOutInput } from './scale-out-planner.js';
@@ -11,27 +11,6 @@
 const SMALL = { ...TYPE, name: 'small', price: 3, spotPrice: 1 };
 const LARGE = { ...TYPE, name: 'large', cpus: 16, memGb: 64, price: 11, spotPrice: 5, zones: ['east'] };
 
-function job(change: Partial<PendingJob> = {}): PendingJob {
-  return {
-    id: 'j-1',
-    team: 'blue',
-    taskResources: { cpus: 4, gpus: 0, memGb: 8 },
-    priority: 2,
-    acceptanceOrder: 1,
-    pendingTaskCount: 9,
-    taskCount: 9,
-    isGang: false,
-    machineTypes: null,
-    zone: null,
-    singleZone: false,
-    spreadZones: false,
-    allowsSpot: true,
-    image: 'i',
-    placedByZone: new Map(),
-    ...change,
-  };
-}
-
 /** Input of a plan for one shard. */
 interface PlanInput {
   readonly unmetDemand: ShardScaleOut['unmetDemand'];
@@ -67,7 +46,7 @@
 }
 
 test('requests the cheapest offer per task, spread over zones, only for tasks without pending capacity', () => {
-  const plans = planOffers({ unmetDemand: [{ job: job(), count: 4 }] });
+  const plans = planOffers({ unmetDemand: [{ job: samplePendingJob(), count: 4 }] });
   assert.deepEqual(
     plans.map((plan) => `${plan.machineType}/${plan.zone}/${plan.spot}/${plan.count}`).sort(),
     ['small/east/true/2', 'small/west/true/2'],
@@ -81,7 +60,7 @@
       free: { cpus: 8, gpus: 0, memGb: 16 },
     },
   ];
-  const fewerPlans = planOffers({ pendingCapacity, unmetDemand: [{ job: job(), count: 3 }] });
+  const fewerPlans = planOffers({ pendingCapacity, unmetDemand: [{ job: samplePendingJob(), count: 3 }] });
   assert.equal(
     fewerPlans.reduce((sum, plan) => sum + plan.count, 0),
     1,
@@ -89,7 +68,7 @@
 });
 
 test('plans as many machines of the cheapest offer as needed, beyond the limit of one request', () => {
-  const plans = planOffers({ unmetDemand: [{ job: job(), count: 400 }] });
+  const plans = planOffers({ unmetDemand: [{ job: samplePendingJob(), count: 400 }] });
   assert.deepEqual(
     plans.map((plan) => [plan.machineType, plan.spot, plan.count]),
     [
@@ -102,10 +81,10 @@
 test('avoids offers that are backed off and offers that the job does not allow', () => {
   const backedOff = (offer: { machineType: string; spot: boolean }): boolean =>
     offer.machineType === 'small' && offer.spot;
-  const [plan] = planOffers({ isBackedOff: backedOff, unmetDemand: [{ job: job(), count: 4 }] });
+  const [plan] = planOffers({ isBackedOff: backedOff, unmetDemand: [{ job: samplePendingJob(), count: 4 }] });
   assert.deepEqual([plan?.machineType, plan?.spot, plan?.count], ['large', true, 1]);
   const onDemandPlans = planOffers({
-    unmetDemand: [{ job: job({ allowsSpot: false, zone: 'west' }), count: 1 }],
+    unmetDemand: [{ job: samplePendingJob({ allowsSpot: false, zone: 'west' }), count: 1 }],
   });
   assert.deepEqual(onDemandPlans, [{ machineType: 'small', zone: 'west', spot: false, count: 1 }]);
 });
@@ -136,11 +115,11 @@
 
 // Guards against a process that ends for memory: each planned machine of an unbounded demand was kept as an object.
 test('a plan for three jobs of 100,000 tasks needs no memory for each planned machine', async () => {
-  const unmetDemand = ['j-1', 'j-2', 'j-3'].map((id) => ({ job: job({ id }), count: 100_000 }));
+  const unmetDemand = ['j-1', 'j-2', 'j-3'].map((id) => ({ job: samplePendingJob({ id }), count: 100_000 }));
   await planWithHeap(24, shardInput({ unmetDemand, maxRequests: 10_000 }));
 });
 
-const GUEST = job({ id: 'j-9', team: 'guest', priority: 9, pendingTaskCount: 100_000 });
+const GUEST = samplePendingJob({ id: 'j-9', team: 'guest', priority: 9, pendingTaskCount: 100_000 });
 
 // Guards against work, requests and records of the leader that grow with the tasks that users ask for.
 test('a demand of 100,000 tasks is planned no further than the requests that the cloud answers soon', () => {
@@ -162,7 +141,7 @@
 
 // Guards against a guest's huge demand that takes all requests, while a team waits for machines within its guarantee.
 test('tasks within a guarantee get the first requests, also those of another shard and of lower priority', () => {
-  const guaranteed = { job: job({ zone: 'west' }), count: 60, guaranteedCount: 60 };
+  const guaranteed = { job: samplePendingJob({ zone: 'west' }), count: 60, guaranteedCount: 60 };
   const guest = { job: { ...GUEST, zone: 'east' }, count: 100_000 };
   const isBackedOff = (): boolean => false;
   const { requests } = planScaleOut({
@@ -187,7 +166,7 @@
 test('beyond the guarantees the teams take turns, so that no demand keeps another team waiting', () => {
   const unmetDemand = [
     { job: { ...GUEST, zone: 'east' }, count: 100_000 },
-    { job: job({ zone: 'west' }), count: 70 },
+    { job: samplePendingJob({ zone: 'west' }), count: 70 },
   ];
   const { requests } = planScaleOut(shardInput({ unmetDemand, maxRequests: 4 }));
   assert.deepEqual(
@@ -212,8 +191,8 @@
     },
   ];
   const unmetDemand = [
-    { job: job(), count: 5, guaranteedCount: 3 },
-    { job: job({ id: 'j-2', team: 'green', zone: 'west' }), count: 1, guaranteedCount: 1 },
+    { job: samplePendingJob(), count: 5, guaranteedCount: 3 },
+    { job: samplePendingJob({ id: 'j-2', team: 'green', zone: 'west' }), count: 1, guaranteedCount: 1 },
   ];
   const { requests } = planScaleOut(shardInput({ unmetDemand, pendingCapacity, maxRequests: 2 }));
   assert.deepEqual(
@@ -230,7 +209,7 @@
     return { machineType: 'small', zone, spot: true, machineCount, free: { cpus: 4, gpus: 0, memGb: 16 } };
   };
   const pendingCapacity = [machines('east', 2), machines('west', 50), machines('west', 50)];
-  const unmetDemand = [{ job: job(), count: 3 }];
+  const unmetDemand = [{ job: samplePendingJob(), count: 3 }];
   const { requests, unusedCapacity } = planScaleOut(shardInput({ unmetDemand, pendingCapacity }));
   assert.deepEqual(requests, []);
   assert.deepEqual(unusedCapacity, [pendingCapacity[2]]);
@@ -238,7 +217,7 @@
 
 // Guards against a team that waits within its guarantee, while a guest's requests are as many as may be pending.
 test('requests that may be pending only for guaranteed tasks are planned for no others', () => {
-  const guaranteed = { job: job({ zone: 'west' }), count: 60, guaranteedCount: 60 };
+  const guaranteed = { job: samplePendingJob({ zone: 'west' }), count: 60, guaranteedCount: 60 };
   const guest = { job: { ...GUEST, zone: 'east' }, count: 100_000 };
   const input = shardInput({ unmetDemand: [guest, guaranteed] });
   for (const [others, guestRequests] of [
--- a/packages/fleet/transfer-planner.test.ts
+++ b/packages/fleet/transfer-planner.test.ts
@@ -1,30 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { PendingJob } from '#pricing';
+import { samplePendingJob } from '#testkit';
 import { SECOND } from '#wire';
 import { type TransferCandidate, planTransfers } from './transfer-planner.js';
 
-function job(change: Partial<PendingJob> = {}): PendingJob {
-  return {
-    id: 'j-1',
-    team: 'blue',
-    taskResources: { cpus: 4, gpus: 0, memGb: 8 },
-    priority: 2,
-    acceptanceOrder: 1,
-    pendingTaskCount: 9,
-    taskCount: 9,
-    isGang: false,
-    machineTypes: null,
-    zone: null,
-    singleZone: false,
-    spreadZones: false,
-    allowsSpot: true,
-    image: 'i',
-    placedByZone: new Map(),
-    ...change,
-  };
-}
-
 function machine(host: string, change: Partial<TransferCandidate> = {}): TransferCandidate {
   const total = { cpus: 4, gpus: 0, memGb: 16 };
   return {
@@ -46,7 +25,7 @@
     {
       owner: 'a',
       price: 2,
-      unmetDemand: [{ job: job(), count: 1 }],
+      unmetDemand: [{ job: samplePendingJob(), count: 1 }],
       guaranteeDeficit: 0,
       usageAboveGuarantee: 0,
     },
@@ -73,7 +52,7 @@
     {
       owner: 'a',
       price: 0,
-      unmetDemand: [{ job: job(), count: 9 }],
+      unmetDemand: [{ job: samplePendingJob(), count: 9 }],
       guaranteeDeficit: 11,
       usageAboveGuarantee: 0,
     },
@@ -93,11 +72,11 @@
 // since the name of its owner came first.
 test('unused capacity goes to an owner that lacks guaranteed CPUs before an owner with unbounded demand', () => {
   const demand = { price: 0, usageAboveGuarantee: 0 };
-  const guest = { job: job({ team: 'guest' }), count: 100_000 };
+  const guest = { job: samplePendingJob({ team: 'guest' }), count: 100_000 };
   const { transfers } = planTransfers({
     owners: [
       { ...demand, owner: 'a', unmetDemand: [guest], guaranteeDeficit: 0 },
-      { ...demand, owner: 'b', unmetDemand: [{ job: job(), count: 2 }], guaranteeDeficit: 8 },
+      { ...demand, owner: 'b', unmetDemand: [{ job: samplePendingJob(), count: 2 }], guaranteeDeficit: 8 },
     ],
     machines: ['n-1', 'n-2', 'n-3'].map((host) => machine(host, { owner: 'c' })),
     canReach: () => true,
--- a/packages/pricing/gang-placement.test.ts
+++ b/packages/pricing/gang-placement.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { samplePendingJob } from '#testkit';
 import { SECOND } from '#wire';
 import { planPreemptions, type Victim } from './preemption.js';
 import { runPricingRound } from './pricing-round.js';
@@ -24,24 +25,9 @@
 };
 
 function gang(id: string, size: number, change: Partial<PendingJob> = {}): PendingJob {
-  return {
-    id,
-    team: 'blue',
-    taskResources: { cpus: 2, gpus: 0, memGb: 4 },
-    priority: 2,
-    acceptanceOrder: 1,
-    pendingTaskCount: size,
-    taskCount: size,
-    isGang: true,
-    machineTypes: null,
-    zone: null,
-    singleZone: true,
-    spreadZones: false,
-    allowsSpot: true,
-    image: 'img-1',
-    placedByZone: new Map(),
-    ...change,
-  };
+  const taskResources = { cpus: 2, gpus: 0, memGb: 4 };
+  const tasks = { pendingTaskCount: size, taskCount: size, isGang: true, singleZone: true };
+  return samplePendingJob({ id, taskResources, ...tasks, ...change });
 }
 
 /** Creates a machine with 4 CPUs. Those that are not free are in use for a long time. */
--- a/packages/pricing/preemption.test.ts
+++ b/packages/pricing/preemption.test.ts
@@ -1,26 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { samplePendingJob } from '#testkit';
 import { planPreemptions, type Victim } from './preemption.js';
-import type { PendingJob } from './types.js';
 
 const NEED = { cpus: 4, gpus: 0, memGb: 8 };
-const JOB: PendingJob = {
-  id: 'j-1',
-  team: 'blue',
-  taskResources: NEED,
-  priority: 4,
-  acceptanceOrder: 1,
-  pendingTaskCount: 1,
-  taskCount: 1,
-  isGang: false,
-  machineTypes: null,
-  zone: null,
-  singleZone: false,
-  spreadZones: false,
-  allowsSpot: true,
-  image: 'i',
-  placedByZone: new Map(),
-};
+const JOB = samplePendingJob({ taskResources: NEED, priority: 4, pendingTaskCount: 1, taskCount: 1 });
 
 function victim(taskName: string, change: Partial<Victim> = {}): Victim {
   return {
--- a/packages/pricing/pricing-round.test.ts
+++ b/packages/pricing/pricing-round.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { samplePendingJob } from '#testkit';
 import { SECOND } from '#wire';
 import { fits, subtractResources } from './resources.js';
 import { shapeOf } from './shape-pools.js';
@@ -24,24 +25,8 @@
 }
 
 function job(id: string, change: Partial<PendingJob> = {}): PendingJob {
-  return {
-    id,
-    team: 'blue',
-    taskResources: { cpus: 2, gpus: 0, memGb: 4 },
-    priority: 2,
-    acceptanceOrder: 1,
-    pendingTaskCount: 1,
-    taskCount: 1,
-    isGang: false,
-    machineTypes: null,
-    zone: null,
-    singleZone: false,
-    spreadZones: false,
-    allowsSpot: true,
-    image: 'img-1',
-    placedByZone: new Map(),
-    ...change,
-  };
+  const taskResources = { cpus: 2, gpus: 0, memGb: 4 };
+  return samplePendingJob({ id, taskResources, pendingTaskCount: 1, taskCount: 1, ...change });
 }
 
 function machine(host: string, change: Partial<CandidateMachine> = {}): CandidateMachine {
--- a/packages/scheduling/unused-guarantees.test.ts
+++ b/packages/scheduling/unused-guarantees.test.ts
@@ -1,27 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { PendingJob } from '#pricing';
+import { samplePendingJob } from '#testkit';
 import { UnusedGuarantees } from './unused-guarantees.js';
 
 function job(team: string, change: Partial<PendingJob> = {}): PendingJob {
-  return {
-    id: 'j-1',
-    team,
-    taskResources: { cpus: 4, gpus: 0, memGb: 8 },
-    priority: 2,
-    acceptanceOrder: 1,
-    pendingTaskCount: 9,
-    taskCount: 9,
-    isGang: false,
-    machineTypes: null,
-    zone: null,
-    singleZone: false,
-    spreadZones: false,
-    allowsSpot: true,
-    image: 'i',
-    placedByZone: new Map(),
-    ...change,
-  };
+  return samplePendingJob({ team, ...change });
 }
 
 test('counts the tasks within what their team leaves unused of its guarantee, a gang as a whole', () => {
