Scale-out: ask once for an offer of which there were too few machines

While a large demand met a cloud without machines, the cloud was asked for as many machines as there is demand after each backoff, in bursts above its rate limit, which lists and deletions share. Cause: an attempt after a backoff was all of the demand, as many requests as may be pending. Fix: after a refusal each shard plans one request for the offer, and none while one is under way, until the cloud has all that such a request asks for. Demand goes to other offers meanwhile, as it does during a backoff.

--- a/packages/fleet/capacity-backoff.ts
+++ b/packages/fleet/capacity-backoff.ts
@@ -22,6 +22,11 @@
     return backoff !== undefined && backoff.until > this.clock.now();
   }
 
+  /** True if the last answer for the offer was that there were too few machines, also after the end of the backoff. */
+  isScarce(offer: Offer): boolean {
+    return this.backoffs.has(offerKey(offer));
+  }
+
   /**
    * Starts a backoff after the cloud supplied too few machines. Its duration doubles each time, up to MAX_BACKOFF. The
    * answers to several requests that were sent before the backoff began tell the same, so they do not prolong it.
--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -307,3 +307,26 @@
     'the last one was not sent',
   );
 });
+
+// Guards against a cloud without machines that is asked for thousands again and again, so that it refuses lists and
+// deletions for its rate limit.
+test('a cloud without machines is asked with one request for each offer after a backoff', async () => {
+  const fleet = new FleetHarness([SMALL]);
+  fleet.respond = () => ({ kind: 'no_capacity' });
+  fleet.demands = [shardDemand(0, [{ job: SWEEP, count: 100_000 }])];
+  await fleet.run(9 * SECOND);
+  const firstRequests = fleet.requests.length;
+  await fleet.run(80 * SECOND);
+  const offerCount = 4;
+  const attempts = fleet.requests.length - firstRequests;
+  assert.ok(attempts >= 2 * offerCount && attempts <= 4 * offerCount, `${attempts} requests`);
+  let hostCount = 0;
+  fleet.respond = ({ count }) => ({
+    kind: 'rented',
+    hosts: [...Array(count).keys()].map(() => `n-${++hostCount}`),
+  });
+  fleet.demands = [shardDemand(0, [{ job: SWEEP, count: 400 }])];
+  fleet.listed = null;
+  await fleet.run(50 * SECOND);
+  assert.ok(hostCount >= 400, `${hostCount} machines`);
+});
--- a/packages/fleet/scale-out-batch.ts
+++ b/packages/fleet/scale-out-batch.ts
@@ -16,8 +16,14 @@
   /** The request that further machines of an offer are added to. Keyed by shard and offer. */
   private readonly openRequests = new Map<string, PlannedScaleOut>();
 
-  /** `maxRequests`: the maximum number of requests, which may be changed between two machines. */
-  constructor(public maxRequests: number) {}
+  /**
+   * `maxRequests`: the maximum number of requests, which may be changed between two machines. `isScarce`: true if the
+   * offer gets one request for each shard only, to find out whether there are machines again.
+   */
+  constructor(
+    public maxRequests: number,
+    private readonly isScarce: (offer: Offer) => boolean,
+  ) {}
 
   /** Adds a machine. Returns false if that takes one more request than there may be. */
   addMachine(shard: number, offer: Offer): boolean {
@@ -27,7 +33,7 @@
       open.count++;
       return true;
     }
-    if (this.requests.length >= this.maxRequests) return false;
+    if (this.requests.length >= this.maxRequests || (open && this.isScarce(offer))) return false;
     const { machineType, zone, spot } = offer;
     const request = { machineType, zone, spot, shard, count: 1 };
     this.requests.push(request);
--- a/packages/fleet/scale-out-planner.test.ts
+++ b/packages/fleet/scale-out-planner.test.ts
@@ -17,6 +17,7 @@
   readonly pendingCapacity?: ShardScaleOut['pendingCapacity'];
   readonly isBackedOff?: ShardScaleOut['isBackedOff'];
   readonly maxRequests?: number;
+  readonly isScarce?: ScaleOutInput['isScarce'];
 }
 
 function sameLimits(maxRequests: number): ScaleOutInput['maxRequests'] {
@@ -28,9 +29,16 @@
   pendingCapacity = [],
   isBackedOff = () => false,
   maxRequests = 100,
+  isScarce = () => false,
 }: PlanInput): ScaleOutInput {
   const shards = [{ shard: 0, unmetDemand, pendingCapacity, isBackedOff }];
-  return { types: [SMALL, LARGE], shards, machinesPerZone: new Map(), maxRequests: sameLimits(maxRequests) };
+  return {
+    types: [SMALL, LARGE],
+    shards,
+    machinesPerZone: new Map(),
+    maxRequests: sameLimits(maxRequests),
+    isScarce,
+  };
 }
 
 /** Returns the planned number of machines of each offer, in the order in which the offers are first requested. */
@@ -90,19 +98,20 @@
 });
 
 /** Plans in a thread with this heap; rejects if the heap does not suffice. */
-function planWithHeap(maxOldGenerationSizeMb: number, { shards, ...input }: ScaleOutInput): Promise<void> {
+function planWithHeap(maxOldGenerationSizeMb: number, input: ScaleOutInput): Promise<void> {
+  const { types, shards, machinesPerZone, maxRequests } = input;
   const planner = JSON.stringify(new URL('scale-out-planner.js', import.meta.url).href);
   const program = `
     const { workerData } = require('node:worker_threads');
     const shards = workerData.shards.map((shard) => ({ ...shard, isBackedOff: () => false }));
-    import(${planner}).then(({ planScaleOut }) => planScaleOut({ ...workerData, shards }));`;
+    import(${planner}).then(({ planScaleOut }) => planScaleOut({ ...workerData, shards, isScarce: () => false }));`;
   // Functions can't be passed to a thread.
   const shardData = shards.map(({ shard, unmetDemand, pendingCapacity }) => {
     return { shard, unmetDemand, pendingCapacity };
   });
   const worker = new Worker(program, {
     eval: true,
-    workerData: { ...input, shards: shardData },
+    workerData: { types, machinesPerZone, maxRequests, shards: shardData },
     resourceLimits: { maxOldGenerationSizeMb, maxYoungGenerationSizeMb: 4 },
   });
   return new Promise((resolve, reject) => {
@@ -152,6 +161,7 @@
     ],
     machinesPerZone: new Map(),
     maxRequests: sameLimits(3),
+    isScarce: () => false,
   });
   assert.deepEqual(
     requests.map(({ shard, zone, count }) => [shard, zone, count]),
@@ -230,3 +240,13 @@
     assert.deepEqual([inZone('west'), inZone('east')], [2, guestRequests], `limit ${others}`);
   }
 });
+
+test('an offer of which there were too few machines gets one request, until the cloud has machines again', () => {
+  const unmetDemand = [{ job: { ...GUEST, zone: 'east', machineTypes: ['small'] }, count: 100_000 }];
+  const isScarce: ScaleOutInput['isScarce'] = ({ spot }) => spot;
+  const { requests } = planScaleOut(shardInput({ unmetDemand, isScarce }));
+  assert.deepEqual(
+    requests.map(({ spot, count }) => [spot, count]),
+    [[true, 50]],
+  );
+});
--- a/packages/fleet/scale-out-planner.ts
+++ b/packages/fleet/scale-out-planner.ts
@@ -4,6 +4,7 @@
  */
 import { MAX_MACHINES_PER_REQUEST } from '#cloud';
 import type { MachineType } from '#wire';
+import type { Offer } from './offers.js';
 import type { PendingCapacity } from './pending-capacity.js';
 import { type PlannedScaleOut, ScaleOutBatch } from './scale-out-batch.js';
 import { type OpenDemand, type ShardScaleOut, ShardScaleOutPlanner } from './shard-scale-out-planner.js';
@@ -16,6 +17,8 @@
   readonly machinesPerZone: ReadonlyMap<string, number>;
   /** Maximum number of requests. Demand that they do not cover is planned again in a later step. */
   readonly maxRequests: RequestLimits;
+  /** True if the cloud had too few machines of the offer the last time. Each shard then plans one request for it. */
+  readonly isScarce: (offer: Offer) => boolean;
 }
 
 /** Maximum number of requests of one plan. */
@@ -39,7 +42,7 @@
  * cheapest per task; offers of equal price are spread over the zones.
  */
 export function planScaleOut(input: ScaleOutInput): ScaleOutPlan {
-  const batch = new ScaleOutBatch(input.maxRequests.guaranteed);
+  const batch = new ScaleOutBatch(input.maxRequests.guaranteed, input.isScarce);
   const planners = input.shards.map((shard) => new ShardScaleOutPlanner(shard, { ...input, batch }));
   const demands = planners.flatMap((planner) => planner.openDemands());
   planInTurns(demands, 'guaranteed');
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -6,6 +6,7 @@
 import type { FleetContext, ShardDemand } from './fleet-context.js';
 import type { MachineAdoption } from './machine-adoption.js';
 import { summarizeMachines } from './machine-summary.js';
+import { type Offer, offerKey } from './offers.js';
 import { RequestedCapacity, requestedCapacity } from './requested-capacity.js';
 import { ScaleOutAttempts } from './scale-out-attempts.js';
 import type { PlannedScaleOut } from './scale-out-batch.js';
@@ -48,6 +49,7 @@
     if (!hasDemand && ledger.pendingScaleOuts.size === 0) return;
     const { machinesPerZone, booting } = summarizeMachines(this.context);
     const requested = requestedCapacity(this.context);
+    const requestedOffers = new Set([...requested.values()].flat().map(offerKey));
     const { requests, unusedCapacity } = planScaleOut({
       types: [...machineTypes.values()],
       shards: demands.map(({ shard, ownedShards, unmetDemand, pendingCapacity, canReach }) => ({
@@ -59,8 +61,9 @@
           ...ownedShards.flatMap((owned) => requested.get(owned) ?? []),
           ...pendingCapacity,
         ],
-        isBackedOff: (offer) => this.backoff.isBackedOff(offer) || !canReach(offer.zone),
+        isBackedOff: (offer) => !canReach(offer.zone) || this.isBackedOff(offer, requestedOffers),
       })),
+      isScarce: (offer) => this.backoff.isScarce(offer),
       machinesPerZone,
       maxRequests: this.requestLimits(),
     });
@@ -102,6 +105,12 @@
     this.context.log.info({ requestId, reason }, 'scale-out withdrawn');
   }
 
+  /** True if no further request for the offer makes sense: the cloud has no machines, or is being asked if it has. */
+  private isBackedOff(offer: Offer, requestedOffers: ReadonlySet<string>): boolean {
+    if (this.backoff.isBackedOff(offer)) return true;
+    return this.backoff.isScarce(offer) && requestedOffers.has(offerKey(offer));
+  }
+
   private maxGuaranteedRequests(): number {
     return GUARANTEED_FACTOR * this.maxPendingRequests();
   }
