Forecast: tasks without an expected run time justify machines

Cause: the number of slots that a demand justifies is its tasks' expected run time divided by the time they may wait, which is zero for an estimate of zero, so that no machine was requested. Fix: without an expected run time each task counts as a slot.

--- a/packages/scheduling/forecaster.ts
+++ b/packages/scheduling/forecaster.ts
@@ -98,6 +98,8 @@
     // All tasks of a gang run at the same time, so they cannot share a slot.
     if (!spec || job.isGang) return count;
     const runTime = this.options.runTimeEstimator.expectedRunTime(spec);
+    // An estimate of zero says nothing about how many tasks one slot can run.
+    if (runTime === 0) return count;
     const timeLeft = Math.max(runTime, this.tolerableWait(spec, runTime));
     return Math.ceil((count * runTime) / Math.max(timeLeft, 1));
   }
