Placement: a machine takes no more tasks than its heartbeats can report

Cause: a heartbeat may have 64 KiB. 1,800 tasks that fit one machine by CPUs and memory make a report of 98,800 bytes, which every node answers with 400; the lease ends, all tasks are killed and are placed there again. A response carries no more commands than fit into 64 KiB.

--- a/packages/fleet/offers.ts
+++ b/packages/fleet/offers.ts
@@ -1,6 +1,6 @@
 /** Offers of the cloud, and the unmet demand that they are matched with. */
 import type { PendingJob, Resources } from '#pricing';
-import type { MachineType } from '#wire';
+import { type MachineType, MAX_TASKS_PER_HEARTBEAT } from '#wire';
 
 /** A kind of machine that the cloud offers: a machine type in a zone, on-demand or spot. */
 export interface Offer {
@@ -28,7 +28,8 @@
 
 /** Returns the capacity of an empty machine of the type. */
 export function resourcesOf(type: MachineType): Resources {
-  return { cpus: type.cpus, gpus: type.gpus, memGb: type.memGb };
+  const { cpus, gpus, memGb } = type;
+  return { cpus, gpus, memGb, taskSlots: MAX_TASKS_PER_HEARTBEAT };
 }
 
 /** True if the job's constraints allow machines of the offer, regardless of their size. */
--- a/packages/fleet/scale-out-planner.test.ts
+++ b/packages/fleet/scale-out-planner.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { Worker } from 'node:worker_threads';
 import { samplePendingJob } from '#testkit';
+import { MAX_TASKS_PER_HEARTBEAT } from '#wire';
 import { offerKey } from './offers.js';
 import type { PendingCapacity } from './pending-capacity.js';
 import { planScaleOut, type ScaleOutInput } from './scale-out-planner.js';
@@ -250,3 +251,13 @@
     [[true, 50]],
   );
 });
+
+// Guards against machines that are planned for more tasks than their heartbeats can report.
+test('small tasks get as many machines as heartbeats need to report them', () => {
+  const tiny = samplePendingJob({ taskResources: { cpus: 0.001, gpus: 0, memGb: 0.001 } });
+  const plans = planOffers({ unmetDemand: [{ job: tiny, count: 3 * MAX_TASKS_PER_HEARTBEAT + 1 }] });
+  assert.equal(
+    plans.reduce((sum, plan) => sum + plan.count, 0),
+    4,
+  );
+});
--- a/packages/fleet/shard-scale-out-planner.ts
+++ b/packages/fleet/shard-scale-out-planner.ts
@@ -63,7 +63,7 @@
 }
 
 function isSameCapacity(a: Resources, b: Resources): boolean {
-  return a.cpus === b.cpus && a.gpus === b.gpus && a.memGb === b.memGb;
+  return a.cpus === b.cpus && a.gpus === b.gpus && a.memGb === b.memGb && a.taskSlots === b.taskSlots;
 }
 
 /** Plans the machines of one shard. */
--- a/packages/pricing/resources.ts
+++ b/packages/pricing/resources.ts
@@ -7,15 +7,16 @@
 /** True if one task of this demand fits into the capacity. */
 export function fits(demand: Resources, capacity: Resources): boolean {
   return (
+    hasTaskSlot(capacity) &&
     demand.cpus <= capacity.cpus + RESOURCE_TOLERANCE &&
     demand.gpus <= capacity.gpus + RESOURCE_TOLERANCE &&
     demand.memGb <= capacity.memGb + RESOURCE_TOLERANCE
   );
 }
 
-/** Returns how many tasks of this demand fit into the capacity; `Infinity` if the demand is zero. */
+/** Returns how many tasks of this demand fit into the capacity; `Infinity` if neither the demand nor the task slots limit it. */
 export function countFitting(demand: Resources, capacity: Resources): number {
-  let count = Infinity;
+  let count = capacity.taskSlots ?? Infinity;
   if (demand.cpus > 0) count = Math.min(count, (capacity.cpus + RESOURCE_TOLERANCE) / demand.cpus);
   if (demand.gpus > 0) count = Math.min(count, (capacity.gpus + RESOURCE_TOLERANCE) / demand.gpus);
   if (demand.memGb > 0) count = Math.min(count, (capacity.memGb + RESOURCE_TOLERANCE) / demand.memGb);
@@ -27,6 +28,12 @@
   capacity.cpus -= demand.cpus * times;
   capacity.gpus -= demand.gpus * times;
   capacity.memGb -= demand.memGb * times;
+  if (capacity.taskSlots !== undefined) capacity.taskSlots -= (demand.taskSlots ?? 1) * times;
+}
+
+/** True if the capacity may take one more task, regardless of its other resources. */
+export function hasTaskSlot({ taskSlots }: Resources): boolean {
+  return taskSlots === undefined || taskSlots >= 1;
 }
 
 /** Returns a new object with all amounts zero, which callers may modify. */
--- a/packages/pricing/shape-pools.ts
+++ b/packages/pricing/shape-pools.ts
@@ -1,5 +1,5 @@
 /** Groups machines by shape. All machines of one shape have the same prices. */
-import { fits, noResources, subtractResources } from './resources.js';
+import { fits, hasTaskSlot, noResources, subtractResources } from './resources.js';
 import type { Resources, Price, CandidateMachine, PendingJob } from './types.js';
 
 /** Returns the name of a machine's shape: its type, with a suffix for spot machines, which are priced separately. */
@@ -41,7 +41,8 @@
       pools.set(shape, pool);
     }
     pool.machines.push({ ...machine, free: { ...machine.free } });
-    subtractResources(pool.free, machine.free, -1);
+    // Resources of a machine that may take no further task can't be bought at any price.
+    if (hasTaskSlot(machine.free)) subtractResources(pool.free, machine.free, -1);
     subtractResources(pool.total, machine.total, -1);
   }
   // If several shapes have equal utility, the first and thus cheapest one is chosen.
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -7,6 +7,11 @@
   gpus: number;
   /** Memory in GB. */
   memGb: number;
+  /**
+   * Number of tasks that a machine can still take, since a worker's heartbeat can report a limited number. Absent: a task
+   * takes one, and a capacity has no limit.
+   */
+  taskSlots?: number;
 }
 
 /** Price of one CPU, one GPU and one GB of memory on a shape, in units of priority. */
--- a/packages/scheduling/forecaster.ts
+++ b/packages/scheduling/forecaster.ts
@@ -173,7 +173,7 @@
     const capacities: PendingCapacity[] = [];
     for (const { host, machineType, zone, spot, shard, status } of ledger.machines.values()) {
       if (shard === null || !shards.has(shard) || status !== 'up') continue;
-      const free = noResources();
+      const free: Resources = { ...noResources(), taskSlots: 0 };
       for (const placement of ledger.placementsOn(host)) {
         if (runTimeEstimator.remainingRunTime(placement) < PENDING_CAPACITY_HORIZON)
           subtractResources(free, placement, -1);
--- a/packages/wire/heartbeat-codec.ts
+++ b/packages/wire/heartbeat-codec.ts
@@ -66,12 +66,26 @@
   return { task: Piece, attempt: Try, state, cause: EXIT_CAUSES_BY_WIRE_NAME.get(Cause) ?? null };
 }
 
+/** Returns the longest row with which a worker can report a task of this name and attempt. */
+export function longestTaskRow({ task, attempt }: Pick<TaskStatus, 'task' | 'attempt'>): WireFields {
+  const longest = (names: Iterable<unknown>): string =>
+    [...names].map(String).reduce((a, b) => (b.length > a.length ? b : a));
+  return {
+    Piece: task,
+    Try: attempt,
+    Status: longest(TASK_STATES_BY_WIRE_NAME.keys()),
+    Cause: longest(EXIT_CAUSES_BY_WIRE_NAME.keys()),
+    Stored: false,
+  };
+}
+
 /** Encodes the response that renews a worker's lease and carries its commands. */
 export function encodeHeartbeatResponse({ fencingToken, commands }: HeartbeatResponse): WireFields {
   return { Baton: fencingToken, Orders: commands.map(encodeCommand) };
 }
 
-function encodeCommand(command: Command): WireFields {
+/** Encodes a command. */
+export function encodeCommand(command: Command): WireFields {
   const { task, attempt } = command;
   switch (command.kind) {
     case 'start':
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -8,6 +8,7 @@
 export * from './jobs.js';
 export * from './machines.js';
 export * from './heartbeat-codec.js';
+export * from './heartbeat-limits.js';
 export * from './submission-codec.js';
 export * from './tasks.js';
 export * from './time.js';
--- a/packages/wire/jobs.ts
+++ b/packages/wire/jobs.ts
@@ -65,7 +65,9 @@
   readonly running?: number;
 }
 
-const JOB_ID = /^j-[0-9]{1,32}$/;
+/** Maximum number of digits in a job id. */
+export const MAX_JOB_ID_DIGITS = 32;
+const JOB_ID = new RegExp(`^j-[0-9]{1,${MAX_JOB_ID_DIGITS}}$`);
 
 /** True if a value is a valid job id: `j-` followed by 1 to 32 digits. */
 export function isJobId(id: unknown): id is string {
--- a/packages/workers/command-builder.ts
+++ b/packages/workers/command-builder.ts
@@ -1,6 +1,6 @@
 /** Builds the commands that a heartbeat response carries. */
 import type { Ledger, LiveJob, Placement } from '#cluster';
-import { type Command, countsEqual, parseTaskName, type TaskStatus } from '#wire';
+import { type Command, countsEqual, MAX_COMMANDS_PER_RESPONSE, parseTaskName, type TaskStatus } from '#wire';
 import type { StopRequests } from './stop-requests.js';
 import { attemptKey, type TrackedWorker } from './tracked-worker.js';
 
@@ -17,6 +17,14 @@
   readonly allowsStarts: boolean;
 }
 
+/** What the start commands of one heartbeat response are built from. */
+interface StartContext {
+  readonly worker: TrackedWorker;
+  readonly context: CommandContext;
+  /** Names of the reported tasks that have a placement. */
+  readonly placed: ReadonlySet<string>;
+}
+
 /** Returns the placement of a task in a heartbeat, or null if the logs have no such attempt on that machine. */
 export function findPlacement(ledger: Ledger, host: string, task: TaskStatus): Placement | null {
   const name = parseTaskName(task.task);
@@ -38,9 +46,10 @@
       const placement = findPlacement(context.ledger, host, task);
       if (placement) placed.add(task.task);
       const command = this.commandFor(task, placement, context);
-      if (command) commands.push(command);
+      // What a response can't carry follows in the next one, since commands are derived from each heartbeat anew.
+      if (command && commands.length < MAX_COMMANDS_PER_RESPONSE) commands.push(command);
     }
-    if (context.allowsStarts) commands.push(...this.buildStarts(worker, context, placed));
+    if (context.allowsStarts) this.addStarts(commands, { worker, context, placed });
     return commands;
   }
 
@@ -74,11 +83,11 @@
     return { kind: 'stop', task, attempt, graceS: this.stopRequests.graceS(task) };
   }
 
-  /** Builds the start commands. `placed` holds the names of the reported tasks that have a placement. */
-  private buildStarts(worker: TrackedWorker, context: RecordedState, placed: ReadonlySet<string>): Command[] {
+  /** Adds the start commands, up to the number of commands that a response can carry. */
+  private addStarts(commands: Command[], { worker, context, placed }: StartContext): void {
     const { host, incarnation } = worker.heartbeat;
-    const commands: Command[] = [];
     for (const placement of context.ledger.placementsOn(host)) {
+      if (commands.length >= MAX_COMMANDS_PER_RESPONSE) return;
       const { taskName, attempt } = placement;
       if (placed.has(taskName) || !this.isStartWanted(placement, worker, context)) continue;
       // A placement for an earlier incarnation is not started: its resources may have been allocated to other tasks
@@ -87,6 +96,5 @@
       worker.sentStarts.add(attemptKey(taskName, attempt));
       commands.push({ kind: 'start', task: taskName, attempt });
     }
-    return commands;
   }
 }
--- a/packages/workers/worker-registry.test.ts
+++ b/packages/workers/worker-registry.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { type MachineRow, Ledger, type LiveJob, type StartGroup } from '#cluster';
-import { SECOND, type Heartbeat } from '#wire';
+import { type Heartbeat, MAX_COMMANDS_PER_RESPONSE, SECOND } from '#wire';
 import { sampleJob } from '#testkit';
 import { withDriftMargin } from './worker-timeouts.js';
 import { attemptKey } from './tracked-worker.js';
@@ -236,3 +236,21 @@
     assert.equal(workers.findCompletions(ledger, jobs, NOW)[0]?.outcome, 'stopped');
   }
 });
+
+// Guards against a response that exceeds the protocol's limit of 64 KiB, which no worker needs to accept.
+test('a response carries no more commands than fit into it, and the next one carries the others', () => {
+  const { workers, ledger, jobs } = createScenario();
+  const unknown: Heartbeat['tasks'] = [...Array(MAX_COMMANDS_PER_RESPONSE + 5).keys()].map((i) => {
+    return { task: `j-9/${i}`, attempt: 1, state: 'exited', cause: 'done' };
+  });
+  workers.onHeartbeat(heartbeat({ tasks: unknown }), NOW);
+  const commands = workers.commands('n-1', { ledger, jobs, allowsStarts: true });
+  assert.equal(commands.length, MAX_COMMANDS_PER_RESPONSE);
+  assert.ok(commands.every(({ kind }) => kind === 'forget'));
+  workers.onHeartbeat(heartbeat({ sequence: 2, tasks: unknown.slice(commands.length) }), NOW + 1);
+  const next = workers.commands('n-1', { ledger, jobs, allowsStarts: true });
+  assert.deepEqual(
+    next.map(({ kind }) => kind),
+    ['forget', 'forget', 'forget', 'forget', 'forget', 'start'],
+  );
+});
