Log: rounds name the tasks that a team's limit leaves out, and the jobs limited after failures

If unplaceable tasks use up a limit, 'heldTasks' grows while the team's use is zero; if failures hold a job back, 'failingJobs' names it.

Result: no change of placement; pricing and scheduling tests pass.

--- a/packages/pricing/placement.ts
+++ b/packages/pricing/placement.ts
@@ -24,7 +24,7 @@
 ): PricingRoundResult {
   const placer = new RoundPlacer(input);
   for (const ranked of rankSegments(segments, market)) placer.place(ranked);
-  return placer.result(market.pools);
+  return placer.result(market.pools, segments);
 }
 
 /**
@@ -44,6 +44,16 @@
     );
 }
 
+/** Returns the number of pending tasks that are in no segment, for each job that has such tasks. Keyed by job. */
+function heldTaskCounts(
+  jobs: readonly PendingJob[],
+  segments: readonly Segment[],
+): PricingRoundResult['heldTaskCounts'] {
+  const held = new Map(jobs.map(({ id, pendingTaskCount }) => [id, pendingTaskCount]));
+  for (const { job, count } of segments) held.set(job.id, (held.get(job.id) ?? 0) - count);
+  return new Map([...held].filter(([, count]) => count > 0));
+}
+
 function rankPools(segment: Segment, market: Market): RankedSegment {
   const ranked = market.pools
     .filter((pool) => isFeasible(segment.job, pool))
@@ -75,12 +85,13 @@
     else this.placeTasks(ranked);
   }
 
-  result(pools: readonly ShapePool[]): PricingRoundResult {
+  result(pools: readonly ShapePool[], segments: readonly Segment[]): PricingRoundResult {
     const machines = pools.flatMap((pool) => pool.machines);
     return {
       starts: this.starts,
       prices: new Map(pools.map((pool) => [pool.shape, pool.price])),
       unmetTaskCounts: this.unmetTaskCounts,
+      heldTaskCounts: heldTaskCounts(this.input.jobs, segments),
       preferredZones: this.preferredZones,
       free: new Map(machines.map((machine) => [machine.host, machine.free])),
       reservedHosts: this.reservedHosts,
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -121,6 +121,8 @@
   prices: Map<string, Price>;
   /** Number of tasks within their team's limit for which no machine had enough free capacity. Keyed by job. */
   unmetTaskCounts: Map<string, number>;
+  /** Number of pending tasks that the team's limit, or what other jobs claim of it, left out. Keyed by job. */
+  heldTaskCounts: Map<string, number>;
   /** The most suitable zone of each unplaced gang whose tasks must run in the same zone. Keyed by job. */
   preferredZones: Map<string, string>;
   /** Capacity that the round leaves free on each machine. Keyed by host. */
--- a/packages/scheduling/round-input-builder.ts
+++ b/packages/scheduling/round-input-builder.ts
@@ -124,6 +124,15 @@
     return pending;
   }
 
+  /** Returns the number of consecutive failures of each job that is limited because of them. Keyed by job. */
+  failingJobs(): Record<string, number> {
+    const failing: Record<string, number> = {};
+    for (const [id, { consecutiveFailures }] of this.options.replica.ledger.jobs) {
+      if (consecutiveFailures >= JOB_FAILURE_THRESHOLD) failing[id] = consecutiveFailures;
+    }
+    return failing;
+  }
+
   /** Returns the time within which tasks of a job class should start; Infinity if no objective sets one. */
   startObjective(jobClass: string): Micros {
     return this.startObjectives.get(jobClass) ?? Infinity;
--- a/packages/scheduling/scheduler.ts
+++ b/packages/scheduling/scheduler.ts
@@ -97,15 +97,11 @@
     const { inputBuilder, preemptionPlanner } = this.options;
     const completed = new Set(completions.map(({ placement }) => placement));
     const machines = inputBuilder.reachableMachines(completed);
-    const { starts, prices, unmetDemand, free } = this.simulateRound(shards, machines, completed);
+    const round = this.simulateRound(shards, machines, completed);
+    const { starts, prices, unmetDemand, free } = round;
     const unmetCpus = unmetCpusByTeam(unmetDemand);
     const recordedPrices = pricesToRecord(prices);
-    if (starts.length > 0 || unmetDemand.length > 0) {
-      this.options.log.debug(
-        { starts: starts.length, unmetCpus, prices: recordedPrices, machines: machines.length },
-        'scheduling round planned',
-      );
-    }
+    this.logRound(round, { unmetCpus, prices: recordedPrices, machines: machines.length });
     const startsByShard = this.groupStarts(starts);
     const usageChanges = this.usageChanges(starts, completed);
     return {
@@ -141,6 +137,7 @@
       starts: result.starts,
       prices: result.prices,
       unmetTaskCounts: result.unmetTaskCounts,
+      heldTaskCounts: result.heldTaskCounts,
       preferredZones: result.preferredZones,
       free: result.free,
       reservedHosts: result.reservedHosts,
@@ -148,6 +145,30 @@
     };
   }
 
+  /** Logs a round that starts tasks, or that leaves tasks waiting for capacity, for their team's limit or after failures. */
+  private logRound(
+    { starts, unmetDemand, heldTaskCounts }: SimulatedRound,
+    summary: { unmetCpus: Record<string, number>; prices: RoundPlan['prices']; machines: number },
+  ): void {
+    if (starts.length === 0 && unmetDemand.length === 0 && heldTaskCounts.size === 0) return;
+    const heldTasks = this.tasksByTeam(heldTaskCounts);
+    const failingJobs = this.options.inputBuilder.failingJobs();
+    this.options.log.debug(
+      { starts: starts.length, ...summary, heldTasks, failingJobs },
+      'scheduling round planned',
+    );
+  }
+
+  /** Sums numbers of tasks, which are keyed by job, by team. */
+  private tasksByTeam(taskCounts: ReadonlyMap<string, number>): Record<string, number> {
+    const byTeam: Record<string, number> = {};
+    for (const [job, count] of taskCounts) {
+      const team = this.options.replica.jobs.get(job)?.spec.team ?? '';
+      byTeam[team] = (byTeam[team] ?? 0) + count;
+    }
+    return byTeam;
+  }
+
   /** Returns the quotas of the teams, and their usage without the completed placements. */
   private teamUsage(teams: Settings['teams'], completed: ReadonlySet<Placement>): TeamUsage[] {
     const { ledger } = this.options.replica;
