--- a/packages/testkit/loopback-trial.ts
+++ b/packages/testkit/loopback-trial.ts
@@ -85,7 +85,7 @@
       clock: this.clock,
       random: this.random,
       storeLimits: { rps: 200, writeRps: 80, txnOps: 8, valueBytes: 4096, pageRows: 1000 },
-      cloud: { types: LOOPBACK_TYPES, capacity: 4, listLag: SECOND },
+      cloud: { types: LOOPBACK_TYPES, capacity: () => 4, listLag: SECOND },
       gangTimes: { gatherTimeout: 20 * SECOND, peerLossTimeout: 3 * SECOND },
       teamLimits: new Map(TEAMS.map((team) => [team, { cpus: 24, gpus: 0 }])),
       cancellationDeadline: 20 * SECOND,
@@ -267,7 +267,7 @@
       },
       limits: { heartbeatInterval: SECOND, workerLease: 6 * SECOND },
       capacity: { cpus: 4, gpus: 0, memGb: 16 },
-      isFaulty: false,
+      isFaulty: () => false,
     };
   }
 
--- a/packages/testkit/sim-cloud.ts
+++ b/packages/testkit/sim-cloud.ts
@@ -2,6 +2,7 @@
 import { type WireFields, isWireFields, type MachineType, type Micros, SECOND } from '#wire';
 import type { Sender } from './role-history.js';
 import type { MachineFacts } from './invariants.js';
+import type { MachineCapacity } from './sim-cluster-options.js';
 import type { SimulationClock } from './sim-clock.js';
 import type { Handler, SimResponse } from './sim-net.js';
 
@@ -46,8 +47,7 @@
   readonly clock: SimulationClock;
   readonly random: () => number;
   readonly types: readonly MachineType[];
-  /** Number of machines of each machine type in each zone, for spot and on-demand machines each. */
-  readonly capacity: number;
+  readonly capacity: MachineCapacity;
   /** Age of the machine list in a response. */
   readonly listLag: Micros;
   /** Called when a machine has booted, to start its worker. */
@@ -124,7 +124,7 @@
     const existingCount = [...this.hosts.values()].filter(
       (h) => h.machineType === facts.machineType && h.zone === facts.zone && h.spot === facts.spot,
     ).length;
-    const newHostCount = Math.min(Number(body['Number']), this.options.capacity - existingCount);
+    const newHostCount = Math.min(Number(body['Number']), this.options.capacity(facts) - existingCount);
     if (newHostCount <= 0) return { status: 503, body: { error: 'no capacity' } };
     this.onScaleOut(requestId, senderOf(body));
     const Hosts: string[] = [];
--- a/packages/testkit/sim-cluster-options.ts
+++ b/packages/testkit/sim-cluster-options.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '#cluster';
 import type { Settings, Tuning } from '#settings';
 import type { MachineType, Micros } from '#wire';
+import type { MachineFacts } from './invariants.js';
 import type { ProductionVersion } from './production-version.js';
 
 /**
@@ -18,6 +19,9 @@
   readonly wallClockOffset: Micros;
 }
 
+/** Returns how many machines of an offer the cloud has at this moment. */
+export type MachineCapacity = (offer: Omit<MachineFacts, 'host'>) => number;
+
 /** Options of a simulated cluster. */
 export interface SimClusterOptions {
   /** Seed of all randomness. */
@@ -33,7 +37,9 @@
   /** Machine types that the cloud offers; {@link SAMPLE_TYPES} by default. */
   readonly types?: readonly MachineType[];
   /** Number of machines of each machine type in each zone, for spot and on-demand machines each; 4 by default. */
-  readonly capacity?: number;
+  readonly capacity?: number | MachineCapacity;
+  /** True if a task that starts on the machine at this moment will fail; by default no machine is faulty. */
+  readonly isFaulty?: (machine: MachineFacts) => boolean;
   /** Maximum number of rows in one response of the state service to a list request; 1000 by default. */
   readonly pageRows?: number;
   /** Runs all nodes with the production version, and with these settings, until they are upgraded. */
--- a/packages/testkit/sim-cluster.ts
+++ b/packages/testkit/sim-cluster.ts
@@ -17,7 +17,7 @@
 } from './sample-settings.js';
 import { SimClock } from './sim-clock.js';
 import type { CloudHost, SimCloud } from './sim-cloud.js';
-import type { ClusterEvent, SimClusterOptions } from './sim-cluster-options.js';
+import type { ClusterEvent, MachineCapacity, SimClusterOptions } from './sim-cluster-options.js';
 import type { SimGangs } from './sim-gang.js';
 import { SimNet } from './sim-net.js';
 import { SimNode } from './sim-node.js';
@@ -237,7 +237,7 @@
         valueBytes: settings.valueBytes,
         pageRows: options.pageRows ?? 1000,
       },
-      cloud: { types: this.types, capacity: options.capacity ?? 4, listLag: settings.machineListLag },
+      cloud: { types: this.types, capacity: machineCapacity(options), listLag: settings.machineListLag },
       gangTimes: { gatherTimeout: settings.gangWait, peerLossTimeout: settings.gangPeer },
       teamLimits: new Map(
         settings.teams.map((team) => [team.name, { cpus: team.cpusMax, gpus: team.gpusMax }]),
@@ -264,12 +264,17 @@
       createClient: (gate) => this.net.createClient(host.host, host.zone, gate),
       limits,
       capacity: { cpus: type.cpus, gpus: type.gpus, memGb: type.memGb },
-      isFaulty: this.drawFaultyWorker(),
+      isFaulty: this.faultOf(host),
     };
   }
 
-  /** Returns false: no worker is faulty. The random draw remains so that earlier seeds reproduce the same runs. */
-  private drawFaultyWorker(): boolean {
-    return this.random() < 0;
+  /** Returns whether tasks fail on the machine. The random draw remains so that earlier seeds reproduce the same runs. */
+  private faultOf(host: CloudHost): () => boolean {
+    this.random();
+    return () => this.options.isFaulty?.(host) ?? false;
   }
 }
+
+function machineCapacity({ capacity = 4 }: SimClusterOptions): MachineCapacity {
+  return typeof capacity === 'number' ? () => capacity : capacity;
+}
--- a/packages/testkit/sim-services.ts
+++ b/packages/testkit/sim-services.ts
@@ -11,6 +11,7 @@
 import { type GangTimes, SimGangs } from './sim-gang.js';
 import { SimStore, type StoreLimits } from './sim-store.js';
 import { SimWorker, type WorkerCapacity, type WorkerLimits } from './sim-worker.js';
+import type { MachineCapacity } from './sim-cluster-options.js';
 
 /** Options of one worker. */
 export interface WorkerSetup {
@@ -20,8 +21,8 @@
   readonly createClient: (gate: Gate) => HttpClient;
   readonly limits: WorkerLimits;
   readonly capacity: WorkerCapacity;
-  /** True if every task fails on this worker. */
-  readonly isFaulty: boolean;
+  /** True if a task that starts on this worker now will fail. */
+  readonly isFaulty: () => boolean;
 }
 
 /** Dependencies and limits of {@link SimServices}. */
@@ -31,7 +32,7 @@
   readonly storeLimits: StoreLimits;
   readonly cloud: {
     readonly types: readonly MachineType[];
-    readonly capacity: number;
+    readonly capacity: MachineCapacity;
     readonly listLag: Micros;
   };
   readonly gangTimes: GangTimes;
--- a/packages/testkit/sim-worker.ts
+++ b/packages/testkit/sim-worker.ts
@@ -50,8 +50,8 @@
   createClient: (gate: Gate) => HttpClient;
   limits: WorkerLimits;
   capacity: WorkerCapacity;
-  /** True if every task fails on this worker. */
-  isFaulty: boolean;
+  /** True if a task that starts on this worker now will fail. */
+  isFaulty: () => boolean;
   /** Called for each launch command that the worker executes, with the fencing token of its heartbeat response. */
   onLaunch: (task: string, attempt: number, host: string, fencingToken: number) => void;
 }
@@ -97,7 +97,7 @@
   }
 
   get isFaulty(): boolean {
-    return this.options.isFaulty;
+    return this.options.isFaulty();
   }
 
   /** Index of the node that receives the heartbeats. */
@@ -260,7 +260,7 @@
     this.hasChanged = true;
     const wasDone = invariants.isTaskDone(task.taskName);
     const runTime = wasDone ? 0 : fromSeconds(spec.estimateS * (0.6 + random() * 0.8));
-    const fails = this.options.isFaulty || spec.jobClass === 'broken';
+    const fails = this.isFaulty || spec.jobClass === 'broken';
     const finish = (): void => {
       if (!this.isAlive || this.tasks.get(key) !== task || task.status !== 'running') return;
       if (this.isHanging) clock.at(500 * MS, finish);
@@ -286,7 +286,7 @@
         this.hasChanged = true;
       },
       completed: () => {
-        if (isPlaced()) this.exitTask(task, this.options.isFaulty ? 'error' : 'done');
+        if (isPlaced()) this.exitTask(task, this.isFaulty ? 'error' : 'done');
       },
       lostPeer: () => {
         if (isPlaced()) this.exitTask(task, 'peers');
