Placement: tasks that cannot be placed claim no limit for long

Cause: tasks were taken off the team's limit when they were ranked, before it was known whether a machine could take them, whatever the reason they could not be placed: zone, type, kind, spread, size of a gang, machines that are full, refused or not up yet. Evidence: the round's log showed 56 unmet CPUs and 7 held tasks beside two machines in each round. Change: a claim needs machines with all of the job's constraints. Machines are requested for a job that was overtaken, so that it does not starve. The split is the same where every job can be placed (property test).

--- a/packages/daemon/machine-rebalancer.ts
+++ b/packages/daemon/machine-rebalancer.ts
@@ -65,11 +65,12 @@
     const { transfers, unmetDemand } = this.plan(forecasts, reachability);
     this.setTargets(transfers, forecasts);
     const { forecaster } = this.options;
-    return forecasts.map(({ member, shards, pendingCapacity }) => ({
+    return forecasts.map(({ member, shards, pendingCapacity, plannedHosts }) => ({
       shard: shards[0] ?? 0,
       ownedShards: shards,
       unmetDemand: forecaster.scaleOutDemands(unmetDemand.get(member) ?? []),
       pendingCapacity,
+      plannedHosts,
       canReach: (zone) => reachability.canReach(member, zone),
     }));
   }
--- a/packages/daemon/node-components.ts
+++ b/packages/daemon/node-components.ts
@@ -155,6 +155,7 @@
     settings,
     tuning,
     random,
+    clock,
     replica,
     workers,
     inputBuilder,
--- a/packages/fleet/fleet-context.ts
+++ b/packages/fleet/fleet-context.ts
@@ -35,6 +35,8 @@
   unmetDemand: readonly UnmetDemand[];
   /** Capacity that the running tasks of the owner are about to free. */
   pendingCapacity: readonly PendingCapacity[];
+  /** Hosts of the owner's machines that are to run further tasks. They are not scaled in. */
+  plannedHosts: ReadonlySet<string>;
   /** True if the owner's node can reach workers in this zone. */
   canReach: (zone: string) => boolean;
 }
--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -30,7 +30,14 @@
 });
 
 function shardDemand(shard: number, unmetDemand: UnmetDemand[]): ShardDemand {
-  return { shard, ownedShards: [shard], unmetDemand, pendingCapacity: [], canReach: () => true };
+  return {
+    shard,
+    ownedShards: [shard],
+    unmetDemand,
+    pendingCapacity: [],
+    plannedHosts: new Set(),
+    canReach: () => true,
+  };
 }
 
 /** A fleet manager that holds a term, with a cloud whose list of machines can be made unavailable. */
--- a/packages/fleet/fleet-manager.ts
+++ b/packages/fleet/fleet-manager.ts
@@ -85,7 +85,7 @@
     this.scaleOut.plan(demands, termProof);
     this.scaleOut.sendAll(termProof);
     void this.adoption.adoptListed(termProof);
-    this.scaleIn.selectIdle(demands.some((demand) => demand.unmetDemand.length > 0));
+    this.scaleIn.selectIdle(demands);
     this.scaleIn.selectUnusable();
     void this.deletion.deleteReleased(termProof);
     if (!this.changes.isEmpty) this.requestRound();
--- a/packages/fleet/scale-in-selection.ts
+++ b/packages/fleet/scale-in-selection.ts
@@ -1,7 +1,7 @@
 /** Selects the machines that leave the fleet: idle machines and unusable ones. */
 import type { MachineEntry } from '#cluster';
 import { type Micros, SECOND } from '#wire';
-import type { FleetContext } from './fleet-context.js';
+import type { FleetContext, ShardDemand } from './fleet-context.js';
 import { ageOf, isBooting } from './machine-age.js';
 import { type IdleMachine, planScaleIn, type ScaleInOptions } from './scale-in-planner.js';
 
@@ -24,8 +24,13 @@
     this.termStartedAt = this.context.clock.now();
   }
 
-  /** Selects empty machines that were reclaimed or quarantined, and idle machines unless a shard has unmet demand. */
-  selectIdle(hasUnmetDemand: boolean): void {
+  /**
+   * Selects empty machines that were reclaimed or quarantined, and idle machines unless a shard has unmet demand or is to
+   * use them.
+   */
+  selectIdle(demands: readonly ShardDemand[]): void {
+    const hasUnmetDemand = demands.some(({ unmetDemand }) => unmetDemand.length > 0);
+    const isPlanned = (host: string): boolean => demands.some(({ plannedHosts }) => plannedHosts.has(host));
     const { state, changes, clock } = this.context;
     const { ledger, isInWarmPool } = state();
     const now = clock.now();
@@ -39,7 +44,7 @@
         changes.setTransferTarget(host, 'scale_in', status);
       if (status !== 'up') continue;
       const idleFor = this.idleTime(host, now);
-      if (!hasUnmetDemand && !isInWarmPool(host))
+      if (!hasUnmetDemand && !isInWarmPool(host) && !isPlanned(host))
         idle.push({ host, idleFor, age: ageOf(machine, clock), spot });
     }
     for (const host of planScaleIn(idle, SCALE_IN_OPTIONS))
--- a/packages/pricing/placement.ts
+++ b/packages/pricing/placement.ts
@@ -1,7 +1,8 @@
 /** Ranks segments, places their tasks on machines, and records the tasks for which no machine has capacity. */
-import { RESOURCE_TOLERANCE } from './resources.js';
+import { hasFreeCapacity, RESOURCE_TOLERANCE } from './resources.js';
 import { packTasks, type BinPackingOptions } from './bin-packing.js';
-import { placeGang } from './gang-placement.js';
+import { type GangPlacement, placeGang } from './gang-placement.js';
+import { countHeldTasks, fullyHeldJobs, MAX_HOLD_TIME, minStartCount, RemainingLimits } from './held-jobs.js';
 import { isFeasible, type ShapePool } from './shape-pools.js';
 import { type Market, utility } from './price-adjustment.js';
 import { reserveMachines } from './reservation.js';
@@ -24,7 +25,9 @@
 ): PricingRoundResult {
   const placer = new RoundPlacer(input);
   for (const ranked of rankSegments(segments, market)) placer.place(ranked);
-  return placer.result(market.pools, segments);
+  const heldTaskCounts = countHeldTasks(input.jobs, segments);
+  placer.placeHeld(fullyHeldJobs(input.jobs, heldTaskCounts), market);
+  return placer.result(market.pools, heldTaskCounts);
 }
 
 /**
@@ -44,14 +47,16 @@
     );
 }
 
-/** Returns the number of pending tasks that are in no segment, for each job that has such tasks. Keyed by job. */
-function heldTaskCounts(
-  jobs: readonly PendingJob[],
-  segments: readonly Segment[],
-): PricingRoundResult['heldTaskCounts'] {
-  const held = new Map(jobs.map(({ id, pendingTaskCount }) => [id, pendingTaskCount]));
-  for (const { job, count } of segments) held.set(job.id, (held.get(job.id) ?? 0) - count);
-  return new Map([...held].filter(([, count]) => count > 0));
+function placedMachines(placement: GangPlacement): readonly CandidateMachine[] {
+  return placement.kind === 'placed' ? placement.machines : [];
+}
+
+/** Returns the pools with only those machines that can take a further task. */
+function withFreeCapacity(pools: readonly ShapePool[]): ShapePool[] {
+  return pools.map((pool) => ({
+    ...pool,
+    machines: pool.machines.filter(({ free }) => hasFreeCapacity(free)),
+  }));
 }
 
 function rankPools(segment: Segment, market: Market): RankedSegment {
@@ -75,9 +80,16 @@
   private readonly preferredZones = new Map<string, string>();
   private readonly zoneConstraints = new Map<string, ZoneConstraint>();
   private readonly packingOptions: BinPackingOptions;
+  private readonly remainingLimits: RemainingLimits;
+  private readonly heldTeams = new Set<string>();
+  /** Teams whose held jobs may start a task each. */
+  private readonly releasedTeams: ReadonlySet<string>;
 
   constructor(private readonly input: PricingRoundInput) {
     this.packingOptions = { random: input.random, choices: input.options.choices };
+    this.remainingLimits = new RemainingLimits(input.teams);
+    const released = input.teams.filter((team) => team.isHeldTooLong === true);
+    this.releasedTeams = new Set(released.map(({ name }) => name));
   }
 
   place(ranked: RankedSegment): void {
@@ -85,13 +97,33 @@
     else this.placeTasks(ranked);
   }
 
-  result(pools: readonly ShapePool[], segments: readonly Segment[]): PricingRoundResult {
+  /**
+   * Looks at the jobs that are held back by claims of other jobs on their team's limit. If the team was held back for too
+   * long, each of them starts one task, or its gang: otherwise a large task or a gang that waits for the end of long
+   * tasks would hold back the others without a bound.
+   */
+  placeHeld(held: readonly PendingJob[], market: Market): void {
+    const releasedTeams = new Set<string>();
+    let openPools: ShapePool[] | null = null;
+    for (const job of held) {
+      if (!this.remainingLimits.fits(job)) continue;
+      this.heldTeams.add(job.team);
+      if (!this.isReleased(job) || this.remainingStarts() <= 0) continue;
+      openPools ??= withFreeCapacity(market.pools);
+      const segment = { job, priority: job.priority, count: minStartCount(job) };
+      if (this.placeHeldJob(rankPools(segment, { ...market, pools: openPools }))) releasedTeams.add(job.team);
+    }
+    for (const team of releasedTeams) this.heldTeams.delete(team);
+  }
+
+  result(pools: readonly ShapePool[], heldTaskCounts: Map<string, number>): PricingRoundResult {
     const machines = pools.flatMap((pool) => pool.machines);
     return {
       starts: this.starts,
       prices: new Map(pools.map((pool) => [pool.shape, pool.price])),
       unmetTaskCounts: this.unmetTaskCounts,
-      heldTaskCounts: heldTaskCounts(this.input.jobs, segments),
+      heldTaskCounts,
+      heldTeams: this.heldTeams,
       preferredZones: this.preferredZones,
       free: new Map(machines.map((machine) => [machine.host, machine.free])),
       reservedHosts: this.reservedHosts,
@@ -129,12 +161,34 @@
     }
   }
 
+  /**
+   * Places one task of the job, or its gang. Returns false if no machines have capacity; it then counts as unmet demand,
+   * which uses up the limit like a start, so that no more is requested than may run.
+   */
+  private placeHeldJob({ segment, pools }: RankedSegment): boolean {
+    const { job, count } = segment;
+    const request = { job, pools, zoneConstraint: this.zoneConstraintOf(job), count };
+    const placement = job.isGang ? placeGang(job, pools, this.packingOptions) : null;
+    const machines = placement ? placedMachines(placement) : packTasks(request, this.packingOptions);
+    this.addStarts(job, machines);
+    if (machines.length > 0) return true;
+    this.unmetTaskCounts.set(job.id, count);
+    this.remainingLimits.subtract(job, count);
+    return false;
+  }
+
+  /** True if the job has waited long enough to start in spite of the claims of others. */
+  private isReleased({ team, age = 0 }: PendingJob): boolean {
+    return this.releasedTeams.has(team) && age >= MAX_HOLD_TIME;
+  }
+
   private remainingStarts(): number {
     return this.input.options.maxStarts - this.starts.length;
   }
 
   private addStarts(job: PendingJob, machines: readonly CandidateMachine[]): void {
     for (const { host } of machines) this.starts.push({ job: job.id, host });
+    this.remainingLimits.subtract(job, machines.length);
   }
 
   private addReservedHosts(hosts: readonly string[]): void {
--- a/packages/pricing/pricing-round.test.ts
+++ b/packages/pricing/pricing-round.test.ts
@@ -73,6 +73,9 @@
     | 'singleZone'
     | 'spreadZones'
     | 'allowsSpot'
+    | 'isGang'
+    | 'age'
+    | 'isOverdue'
   >;
 
 const anyJob = fc.record<JobSpec>({
@@ -87,6 +90,9 @@
   singleZone: fc.boolean(),
   spreadZones: fc.boolean(),
   allowsSpot: fc.boolean(),
+  isGang: fc.boolean(),
+  age: fc.constantFrom(0, 40 * SECOND, 100 * SECOND),
+  isOverdue: fc.boolean(),
 });
 const anyMachine = fc.record({
   zone: fc.constantFrom('east', 'west'),
@@ -100,7 +106,8 @@
     fc.property(
       fc.array(anyJob, { maxLength: 12 }),
       fc.array(anyMachine, { maxLength: 12 }),
-      (jobSpecs, machineSpecs) => {
+      fc.boolean(),
+      (jobSpecs, machineSpecs, isHeldTooLong) => {
         const jobs = jobSpecs.map((spec, i) =>
           job(`j-${i}`, {
             ...spec,
@@ -119,7 +126,8 @@
             free,
           });
         });
-        const result = runPricingRound(input(jobs, machines));
+        const teams = input([], []).teams.map((team) => ({ ...team, isHeldTooLong }));
+        const result = runPricingRound(input(jobs, machines, { teams }));
         const freeByHost = new Map(machines.map(({ host, free }) => [host, { ...free }]));
         const used = new Map<string, { cpus: number; gpus: number; memGb: number }>();
         const zones = new Map<string, string[]>();
--- a/packages/pricing/resources.ts
+++ b/packages/pricing/resources.ts
@@ -36,6 +36,12 @@
   return taskSlots === undefined || taskSlots >= 1;
 }
 
+/** True if the capacity is enough for some task: a task slot is free, and CPUs or memory. */
+export function hasFreeCapacity(capacity: Resources): boolean {
+  const hasResources = capacity.cpus > RESOURCE_TOLERANCE || capacity.memGb > RESOURCE_TOLERANCE;
+  return hasTaskSlot(capacity) && hasResources;
+}
+
 /** Returns a new object with all amounts zero, which callers may modify. */
 export function noResources(): Resources {
   return { cpus: 0, gpus: 0, memGb: 0 };
--- a/packages/pricing/segments.ts
+++ b/packages/pricing/segments.ts
@@ -1,7 +1,8 @@
 /** Splits pending tasks into segments of equal priority, within the limits of their teams. */
-import { countFitting, subtractResources } from './resources.js';
-import { isFeasible, type ShapePool } from './shape-pools.js';
-import type { Resources, PricingRoundInput, TeamUsage, PendingJob } from './types.js';
+import { countPlaceable } from './placeable-tasks.js';
+import type { ShapePool } from './shape-pools.js';
+import { type QuotaClaim, TeamQuota } from './team-quota.js';
+import type { PricingRoundInput, TeamUsage, PendingJob } from './types.js';
 
 /** Tasks of one job with equal priority: either those within their team's guarantee or those above it. */
 export interface Segment {
@@ -38,25 +39,16 @@
 
 function segmentsOfTeam(team: TeamUsage, jobs: PendingJob[], ranking: Ranking): Segment[] {
   const { pools, weightedPriority, guaranteeBonus } = ranking;
-  const remainingLimit = remainingQuota(team.limit, team.used);
-  const remainingGuarantee = remainingQuota(team.guaranteed, team.used);
+  const quota = new TeamQuota(team);
+  const claims = new ClaimPolicy(pools);
+  const isContended = quota.isContended(jobs);
   const segments: Segment[] = [];
   const rankedJobs = jobs.sort(
     (a, b) => weightedPriority(b) - weightedPriority(a) || a.acceptanceOrder - b.acceptanceOrder,
   );
   for (const job of rankedJobs) {
-    const fittingCount = Math.min(job.pendingTaskCount, countFitting(job.taskResources, remainingLimit));
-    const count = placeableCount(job, fittingCount);
-    const guaranteedCount = placeableCount(
-      job,
-      Math.min(count, countFitting(job.taskResources, remainingGuarantee)),
-    );
-    if (countsAgainstLimit(job, pools)) {
-      // A gang that exceeds the remaining limit still uses it up, which holds back tasks of lower priority. Otherwise
-      // these would take the limit task by task and never leave enough for the gang.
-      subtractResources(remainingLimit, job.taskResources, job.isGang ? job.pendingTaskCount : count);
-      subtractResources(remainingGuarantee, job.taskResources, count);
-    }
+    const { count, guaranteedCount } = quota.fittingTasks(job);
+    if (isContended && !quota.isUsedUp) quota.claim(job, claims.claimOf(job, count));
     if (guaranteedCount > 0)
       segments.push({ job, priority: weightedPriority(job) + guaranteeBonus, count: guaranteedCount });
     if (count > guaranteedCount)
@@ -65,20 +57,41 @@
   return segments;
 }
 
-function remainingQuota(bound: { readonly cpus: number; readonly gpus: number }, used: Resources): Resources {
-  return { cpus: bound.cpus - used.cpus, gpus: bound.gpus - used.gpus, memGb: Infinity };
-}
+/**
+ * Decides what the waiting jobs of one team claim of its quota, in the order of their rank. Tasks that cannot be placed
+ * now hold nothing back for long, whatever the reason: other jobs of the team would wait beside machines with capacity
+ * (docs/incidents/claims-without-machines.md).
+ */
+class ClaimPolicy {
+  /** True once a job of the team keeps a share for the time when capacity becomes free. */
+  private hasFoothold = false;
 
-/** Returns how many of the fitting tasks may be placed: for a gang all of its tasks or none. */
-function placeableCount(job: PendingJob, fittingCount: number): number {
-  return job.isGang && fittingCount < job.pendingTaskCount ? 0 : fittingCount;
+  constructor(private readonly pools: readonly ShapePool[]) {}
+
+  /** `fittingCount`: how many tasks of the job fit what jobs of higher rank left of the limit. */
+  claimOf(job: PendingJob, fittingCount: number): QuotaClaim {
+    const usable = this.usableCount(job);
+    const firm = job.isGang ? usable : Math.min(usable, Math.max(1, fittingCount));
+    // A job counts as recent for as long as a machine takes to boot.
+    const provisional = job.isOverdue === true ? 0 : Math.max(0, wantedCount(job, fittingCount) - firm);
+    return { firm, provisional, firmWithinGuarantee: Math.min(firm, fittingCount) };
+  }
+
+  /**
+   * Returns the number of tasks that can be placed now. If there are none, but the machines could take the job once their
+   * tasks have ended, it is one task, or the gang. Otherwise tasks of lower rank would take the limit one by one, and a
+   * large task or a gang would find either the limit or the machines used up for good. One job of the team at a time has
+   * this foothold, so that it holds back little.
+   */
+  private usableCount(job: PendingJob): number {
+    const { now, onceEmpty } = countPlaceable(job, this.pools);
+    if (now > 0 || onceEmpty === 0 || this.hasFoothold) return now;
+    this.hasFoothold = true;
+    return job.isGang ? job.pendingTaskCount : 1;
+  }
 }
 
-/**
- * True if the job's tasks count against its team's limit. A job without a feasible machine counts only for as long as a
- * machine takes to boot. After that, holding back the team's other jobs would leave capacity idle
- * (docs/incidents/upgrade-132.md).
- */
-function countsAgainstLimit(job: PendingJob, pools: readonly ShapePool[]): boolean {
-  return job.isOverdue !== true || pools.some((pool) => isFeasible(job, pool));
+/** Returns the tasks that a job claims if it gets machines: a gang all of them, even if the limit is too small for it. */
+function wantedCount(job: PendingJob, fittingCount: number): number {
+  return job.isGang ? job.pendingTaskCount : fittingCount;
 }
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -36,6 +36,13 @@
   taskCount: number;
   /** True if all pending tasks have to be placed in the same round. */
   isGang: boolean;
+  /** Time since the job was accepted; 0 if absent. */
+  age?: Micros;
+  /**
+   * Returns the resources of the team's running tasks that rank below the job and started while it waited. In a forecast
+   * they count as free for the job; absent in a round that starts tasks.
+   */
+  overtakenBy?: () => Resources;
   /** True if the job has waited for longer than a machine takes to boot. */
   isOverdue?: boolean;
   /** Machine types that the job is limited to; null if any type is allowed. */
@@ -81,6 +88,11 @@
   guaranteed: { cpus: number; gpus: number };
   /** Maximum resources that the team may use. */
   limit: { cpus: number; gpus: number };
+  /**
+   * True if jobs of the team have been held back for too long by what others claim of the limit. Each of them may then
+   * start one task, or its gang, within the limit.
+   */
+  isHeldTooLong?: boolean;
 }
 
 /** Parameters of pricing and placement. Operators set all of them in the settings except `maxStarts`. */
@@ -123,6 +135,8 @@
   unmetTaskCounts: Map<string, number>;
   /** Number of pending tasks that the team's limit, or what other jobs claim of it, left out. Keyed by job. */
   heldTaskCounts: Map<string, number>;
+  /** Teams of which a job started nothing only because other jobs claim the rest of the limit. */
+  heldTeams: ReadonlySet<string>;
   /** The most suitable zone of each unplaced gang whose tasks must run in the same zone. Keyed by job. */
   preferredZones: Map<string, string>;
   /** Capacity that the round leaves free on each machine. Keyed by host. */
--- a/packages/pricing/zone-constraint.ts
+++ b/packages/pricing/zone-constraint.ts
@@ -16,7 +16,7 @@
     machines: readonly CandidateMachine[],
   ) {
     this.tasksByZone = new Map(job.placedByZone);
-    this.maxPerZone = Math.ceil(job.taskCount / 2);
+    this.maxPerZone = maxTasksPerZone(job);
     this.firstZone =
       job.singleZone && this.tasksByZone.size === 0 ? zoneWithMostCapacity(job, machines) : null;
   }
@@ -37,6 +37,11 @@
   }
 }
 
+/** Returns the maximum number of tasks of a spread job in one zone. */
+export function maxTasksPerZone({ taskCount }: PendingJob): number {
+  return Math.ceil(taskCount / 2);
+}
+
 /** Returns the zone with capacity for the most tasks of the job, in which a single-zone job starts; null if none. */
 function zoneWithMostCapacity(job: PendingJob, machines: readonly CandidateMachine[]): string | null {
   const taskCapacity = new Map<string, number>();
--- a/packages/scheduling/forecaster.ts
+++ b/packages/scheduling/forecaster.ts
@@ -7,6 +7,7 @@
 import type { RoundInputBuilder } from './round-input-builder.js';
 import type { RunTimeEstimator } from './run-time-estimator.js';
 import type { Scheduler } from './scheduler.js';
+import { unmetCpusByTeam } from './unmet-demand.js';
 import { UnusedGuarantees } from './unused-guarantees.js';
 
 /** Capacity counts as pending if the task that uses it is expected to end within this time. */
@@ -33,6 +34,8 @@
   readonly free: ReadonlyMap<string, Resources>;
   /** Hosts of machines reserved for tasks that need more capacity than is free there at present. */
   readonly reservedHosts: ReadonlySet<string>;
+  /** Hosts of machines that are to run further tasks, also once the share of the limit for these is free. */
+  readonly plannedHosts: ReadonlySet<string>;
   /** Capacity that the owner's running tasks are about to free. */
   readonly pendingCapacity: readonly PendingCapacity[];
   /** Highest price of a CPU on any shape, in units of priority. */
@@ -108,8 +111,15 @@
     const { inputBuilder, scheduler } = this.options;
     const shardSet = new Set(shards);
     const machines = inputBuilder.recordedMachines(shardSet);
-    const round = scheduler.simulateRound(shardSet, machines, new Set());
+    // How long the owner has held back a team is not known here. Demand for a job that has waited long enough to be
+    // released is forecast as if it were released, so that it gets a machine.
+    const round = scheduler.simulateRound(shardSet, machines, {
+      completed: new Set(),
+      isHeldTooLong: () => true,
+      isForecast: true,
+    });
     const { unmetDemand, free, reservedHosts } = round;
+    const plannedHosts = new Set(round.starts.map(({ host }) => host));
     const price = Math.max(0, ...[...round.prices.values()].map(({ cpu }) => cpu));
     const pendingCapacity = this.pendingCapacity(shardSet);
     const balance = this.guaranteeBalance(shardSet, unmetDemand, pendingCapacity);
@@ -120,6 +130,7 @@
       unmetDemand,
       free,
       reservedHosts,
+      plannedHosts,
       pendingCapacity,
       price,
       guaranteeDeficit,
@@ -184,11 +195,3 @@
     return capacities;
   }
 }
-
-function unmetCpusByTeam(unmetDemand: readonly UnmetDemand[]): ReadonlyMap<string, number> {
-  const unmetCpus = new Map<string, number>();
-  for (const { job, count } of unmetDemand) {
-    unmetCpus.set(job.team, (unmetCpus.get(job.team) ?? 0) + count * job.taskResources.cpus);
-  }
-  return unmetCpus;
-}
--- a/packages/scheduling/round-input-builder.ts
+++ b/packages/scheduling/round-input-builder.ts
@@ -21,6 +21,7 @@
   SECOND,
 } from '#wire';
 import { findPlacement, type TrackedWorker, type WorkerRegistry } from '#workers';
+import { OvertakingTasks } from './overtaking-tasks.js';
 import type { RunTimeEstimator } from './run-time-estimator.js';
 
 /**
@@ -104,12 +105,19 @@
     return machines;
   }
 
-  /** Returns the jobs of the teams that have tasks to place. Completed placements do not count as placed in a zone. */
-  pendingJobs(teams: ReadonlySet<string>, completed: ReadonlySet<Placement>): PendingJob[] {
+  /**
+   * Returns the jobs of the teams that have tasks to place. Completed placements do not count as placed in a zone. In a
+   * forecast the jobs are told which tasks overtook them.
+   */
+  pendingJobs(
+    teams: ReadonlySet<string>,
+    { completed, isForecast }: { readonly completed: ReadonlySet<Placement>; readonly isForecast: boolean },
+  ): PendingJob[] {
     const { replica, clock } = this.options;
     const wallTime = clock.wall();
     const maxBootTime = this.maxBootTime();
     const pending: PendingJob[] = [];
+    const overtakingTasks = isForecast ? new OvertakingTasks(replica) : null;
     for (const [id, job] of replica.jobs) {
       if (!teams.has(job.spec.team)) continue;
       const progress = replica.ledger.jobs.get(id);
@@ -119,7 +127,9 @@
       const age = Math.max(0, wallTime - job.acceptedAtMs * MS);
       const priority = this.priority(job.spec, progress, age);
       const isOverdue = age > maxBootTime;
-      pending.push(pendingJob({ id, job, priority, pendingTaskCount, isOverdue, placedByZone }));
+      const input = pendingJob({ id, job, priority, pendingTaskCount, age, isOverdue, placedByZone });
+      if (overtakingTasks) input.overtakenBy = () => overtakingTasks.usedAheadOf(job);
+      pending.push(input);
     }
     return pending;
   }
@@ -240,7 +250,7 @@
 
 /** A job and the values that {@link RoundInputBuilder} derives from it for one round. */
 interface PendingJobParts extends Required<
-  Pick<PendingJob, 'id' | 'priority' | 'pendingTaskCount' | 'isOverdue' | 'placedByZone'>
+  Pick<PendingJob, 'id' | 'priority' | 'pendingTaskCount' | 'age' | 'isOverdue' | 'placedByZone'>
 > {
   readonly job: LiveJob;
 }
@@ -256,6 +266,7 @@
     pendingTaskCount: parts.pendingTaskCount,
     taskCount: spec.taskCount,
     isGang: spec.shape === 'gang',
+    age: parts.age,
     isOverdue: parts.isOverdue,
     machineTypes: spec.machineTypes,
     zone: spec.zone,
--- a/packages/scheduling/scheduler.ts
+++ b/packages/scheduling/scheduler.ts
@@ -11,7 +11,6 @@
 import type { UnmetDemand } from '#fleet';
 import {
   type CandidateMachine,
-  type PendingJob,
   type Price,
   type PricingOptions,
   type PricingRoundResult,
@@ -20,8 +19,10 @@
   type TeamUsage,
 } from '#pricing';
 import type { Settings, Tuning } from '#settings';
-import type { JobSpec } from '#wire';
+import type { Clock, JobSpec } from '#wire';
 import { findPlacement, type TaskCompletion, type WorkerRegistry } from '#workers';
+import { LimitHolds } from './limit-holds.js';
+import { unmetCpusByTeam, unmetDemandOf } from './unmet-demand.js';
 import type { PreemptedTask, PreemptionPlanner } from './preemption-planner.js';
 import type { RoundInputBuilder } from './round-input-builder.js';
 
@@ -48,12 +49,23 @@
   readonly unmetDemand: readonly UnmetDemand[];
 }
 
+/** What a round takes into account beyond the replica. */
+export interface RoundConditions {
+  /** Completed placements that are not recorded yet. They no longer count as usage of their teams. */
+  readonly completed: ReadonlySet<Placement>;
+  /** True if claims on the team's limit have held back its jobs for too long. */
+  readonly isHeldTooLong: (team: string) => boolean;
+  /** True if the round only shows the demand: a job then has the share of the limit that tasks took which overtook it. */
+  readonly isForecast: boolean;
+}
+
 /** Dependencies of {@link Scheduler}. */
 export interface SchedulerOptions {
   readonly settings: Settings;
   readonly tuning: Tuning;
   /** Returns uniformly distributed numbers in [0, 1). */
   readonly random: () => number;
+  readonly clock: Clock;
   readonly replica: Replica;
   readonly workers: WorkerRegistry;
   readonly inputBuilder: RoundInputBuilder;
@@ -70,9 +82,11 @@
   private readonly shardByTeam: ReadonlyMap<string, number>;
   /** Attempt numbers of the gangs that the current round starts; all start groups of a gang share one. Keyed by job. */
   private readonly gangAttempts = new Map<string, number>();
+  private readonly limitHolds: LimitHolds;
 
   constructor(private readonly options: SchedulerOptions) {
-    const { settings, tuning } = options;
+    const { settings, tuning, clock } = options;
+    this.limitHolds = new LimitHolds(clock);
     this.pricingOptions = { ...tuning, maxStarts: MAX_STARTS_PER_ROUND };
     this.shardByTeam = new Map(settings.teams.map((team, i) => [team.name, i % settings.initialSize]));
   }
@@ -97,9 +111,14 @@
     const { inputBuilder, preemptionPlanner } = this.options;
     const completed = new Set(completions.map(({ placement }) => placement));
     const machines = inputBuilder.reachableMachines(completed);
-    const round = this.simulateRound(shards, machines, completed);
+    const round = this.simulateRound(shards, machines, {
+      completed,
+      isHeldTooLong: (team) => this.limitHolds.isHeldTooLong(team),
+      isForecast: false,
+    });
+    this.limitHolds.observe(round.heldTeams);
     const { starts, prices, unmetDemand, free } = round;
-    const unmetCpus = unmetCpusByTeam(unmetDemand);
+    const unmetCpus = Object.fromEntries(unmetCpusByTeam(unmetDemand));
     const recordedPrices = pricesToRecord(prices);
     this.logRound(round, { unmetCpus, prices: recordedPrices, machines: machines.length });
     const startsByShard = this.groupStarts(starts);
@@ -112,37 +131,25 @@
     };
   }
 
-  /**
-   * Runs a round for the teams of the shards on the given machines, without side effects. Completed placements no
-   * longer count as usage of their teams.
-   */
+  /** Runs a round for the teams of the shards on the given machines, without side effects. */
   simulateRound(
     shards: ReadonlySet<number>,
     machines: readonly CandidateMachine[],
-    completed: ReadonlySet<Placement>,
+    conditions: RoundConditions,
   ): SimulatedRound {
     const { settings, replica, inputBuilder, random } = this.options;
     const teams = settings.teams.filter(({ name }) => shards.has(this.shardOfTeam(name)));
-    const jobs = inputBuilder.pendingJobs(new Set(teams.map(({ name }) => name)), completed);
+    const jobs = inputBuilder.pendingJobs(new Set(teams.map(({ name }) => name)), conditions);
     const firstShard = Math.min(...shards);
     const result = runPricingRound({
       jobs,
       machines,
-      teams: this.teamUsage(teams, completed),
+      teams: this.teamUsage(teams, conditions),
       prices: replica.ledger.prices.get(firstShard) ?? new Map<string, ShapePrice>(),
       options: this.pricingOptions,
       random,
     });
-    return {
-      starts: result.starts,
-      prices: result.prices,
-      unmetTaskCounts: result.unmetTaskCounts,
-      heldTaskCounts: result.heldTaskCounts,
-      preferredZones: result.preferredZones,
-      free: result.free,
-      reservedHosts: result.reservedHosts,
-      unmetDemand: unmetDemandOf(jobs, result),
-    };
+    return { ...result, unmetDemand: unmetDemandOf(jobs, result) };
   }
 
   /** Logs a round that starts tasks, or that leaves tasks waiting for capacity, for their team's limit or after failures. */
@@ -170,13 +177,14 @@
   }
 
   /** Returns the quotas of the teams, and their usage without the completed placements. */
-  private teamUsage(teams: Settings['teams'], completed: ReadonlySet<Placement>): TeamUsage[] {
+  private teamUsage(teams: Settings['teams'], { completed, isHeldTooLong }: RoundConditions): TeamUsage[] {
     const { ledger } = this.options.replica;
     const usage = teams.map(({ name, cpus, gpus, cpusMax, gpusMax }) => ({
       name,
       used: { ...ledger.teamUsage(name) },
       guaranteed: { cpus, gpus },
       limit: { cpus: cpusMax, gpus: gpusMax },
+      isHeldTooLong: isHeldTooLong(name),
     }));
     const usedByTeam = new Map(usage.map(({ name, used }) => [name, used]));
     for (const placement of completed) {
@@ -251,33 +259,6 @@
   }
 }
 
-/**
- * Returns the tasks for which no machine had capacity, sorted by priority and then by order of acceptance. A gang that
- * must run in one zone is returned with the zone that suits it best.
- */
-function unmetDemandOf(
-  jobs: readonly PendingJob[],
-  { unmetTaskCounts, preferredZones }: PricingRoundResult,
-): UnmetDemand[] {
-  return jobs
-    .filter(({ id }) => (unmetTaskCounts.get(id) ?? 0) > 0)
-    .sort((a, b) => b.priority - a.priority || a.acceptanceOrder - b.acceptanceOrder)
-    .map((job): UnmetDemand => {
-      const count = unmetTaskCounts.get(job.id) ?? 0;
-      const zone = preferredZones.get(job.id);
-      if (zone === undefined) return { job, count };
-      return { job: { ...job, zone }, count, canUseOtherZones: job.zone === null };
-    });
-}
-
-function unmetCpusByTeam(unmetDemand: readonly UnmetDemand[]): Record<string, number> {
-  const unmetCpus: Record<string, number> = {};
-  for (const { job, count } of unmetDemand) {
-    unmetCpus[job.team] = (unmetCpus[job.team] ?? 0) + count * job.taskResources.cpus;
-  }
-  return unmetCpus;
-}
-
 /** Converts prices to the rounded form in which they are recorded. */
 function pricesToRecord(prices: ReadonlyMap<string, Price>): RoundPlan['prices'] {
   const recorded: RoundPlan['prices'] = {};
