Failures: tell those of a job from those of its machines

Cause: each failed attempt was counted for the job, whatever machine it was on, and a burst on one machine as often as it had tasks; from three on nothing was pending while a task of the job was placed. Evidence: the round's log named j-1 with 8 failures and no unmet demand for it, beside a machine with room. Change: cluster/failure-evidence.ts counts independent failures, by the evidence of other machines and of other jobs; a suspect job grows with the tasks that outlive the failed attempts, and is tried every 45 s in any case. A job that fails everywhere costs no machine.

--- a/packages/cluster/index.ts
+++ b/packages/cluster/index.ts
@@ -3,6 +3,7 @@
 export * from './capabilities.js';
 export * from './cluster-state.js';
 export * from './done-set.js';
+export * from './failure-evidence.js';
 export * from './gang.js';
 export * from './job-progress.js';
 export * from './jobs.js';
--- a/packages/cluster/ledger.ts
+++ b/packages/cluster/ledger.ts
@@ -1,7 +1,8 @@
 /** The placement state: machines, pending scale-outs, prices and placed tasks, from checkpoint and logs. */
 import { attemptNumber } from './attempt-numbers.js';
 import { isGangComplete, mayJoinGang } from './gang.js';
-import { JOB_FAILURE_THRESHOLD, JobProgress } from './job-progress.js';
+import { FailureEvidence } from './failure-evidence.js';
+import { JobProgress } from './job-progress.js';
 import type { LogId } from './keys.js';
 import { type GroupStart, newMachine, newPendingScaleOut, newPlacement } from './ledger-entries.js';
 import type {
@@ -36,6 +37,8 @@
   private readonly index = new PlacementIndex();
   /** Keyed by job id. */
   readonly jobs = new Map<string, JobProgress>();
+  /** Failures of jobs and machines since their last done task. */
+  readonly failures = new FailureEvidence();
   /** Keyed by host. */
   readonly machines = new Map<string, MachineEntry>();
   /** Keyed by request id. */
@@ -110,7 +113,9 @@
 
   /** Drops the progress of a job that is no longer live, unless it still has placements. */
   dropJob(job: string): void {
-    if (this.jobs.get(job)?.placements.size === 0) this.jobs.delete(job);
+    if (this.jobs.get(job)?.placements.size !== 0) return;
+    this.jobs.delete(job);
+    this.failures.dropJob(job);
   }
 
   /** Loads a checkpoint into this ledger, which must be empty. */
@@ -159,11 +164,13 @@
   private applyCompletions(shard: number, record: PlacementRecord): void {
     for (const completion of record.completions ?? []) {
       const [job, index, , outcome] = completion;
-      const host = this.placement(job, index)?.host;
-      const machine = host === undefined ? null : this.ownedMachine(shard, host);
+      const placement = this.placement(job, index);
+      const machine = placement && this.ownedMachine(shard, placement.host);
       if (!machine || !this.endAttempt(completion)) continue;
-      if (outcome === 'done') this.clearFailures(job, machine);
-      else if (outcome === 'failed') this.countFailure(job, machine, record.recordedAtMs);
+      const progress = this.jobProgress(job);
+      if (outcome === 'done') this.failures.onDone(job, machine);
+      else if (outcome === 'failed')
+        this.failures.onFailed({ placement, machine, progress, failedAtMs: record.recordedAtMs });
     }
   }
 
@@ -242,28 +249,12 @@
 
   private addPlacement(task: TaskRow, start: GroupStart): void {
     const placement = newPlacement(task, start);
-    this.jobProgress(placement.job).placements.set(placement.index, placement);
+    const progress = this.jobProgress(placement.job);
+    progress.placements.set(placement.index, placement);
+    progress.lastStartedAtMs = Math.max(progress.lastStartedAtMs, placement.startedAtMs);
     this.index.add(placement);
   }
 
-  private clearFailures(job: string, machine: MachineEntry): void {
-    const progress = this.jobs.get(job);
-    if (!progress) return;
-    progress.consecutiveFailures = 0;
-    machine.consecutiveFailures = 0;
-  }
-
-  /** Counts a failure of the job, and of the machine too unless the job itself is considered faulty. */
-  private countFailure(job: string, machine: MachineEntry, failedAtMs: number): void {
-    const progress = this.jobs.get(job);
-    if (!progress) return;
-    progress.consecutiveFailures++;
-    progress.lastFailureAtMs = failedAtMs;
-    if (progress.consecutiveFailures >= JOB_FAILURE_THRESHOLD) return;
-    machine.consecutiveFailures++;
-    machine.lastFailureAtMs = failedAtMs;
-  }
-
   /** Removes the placement of a task. Returns false if the task is no longer placed under the named attempt. */
   private endAttempt([job, index, attempt, outcome]: CompletionRow): boolean {
     const progress = this.jobs.get(job);
@@ -283,5 +274,6 @@
       this.endAttempt([job, index, attempt, 'lost']);
     }
     this.machines.delete(host);
+    this.failures.dropMachine(host);
   }
 }
--- a/packages/scheduling/round-input-builder.ts
+++ b/packages/scheduling/round-input-builder.ts
@@ -1,12 +1,5 @@
 /** Builds the input of a scheduling round: the candidate machines and the jobs with pending tasks. */
-import {
-  JOB_FAILURE_THRESHOLD,
-  type JobProgress,
-  type LiveJob,
-  type MachineEntry,
-  type Placement,
-  type Replica,
-} from '#cluster';
+import { type JobProgress, type LiveJob, type MachineEntry, type Placement, type Replica } from '#cluster';
 import { resourcesOf } from '#fleet';
 import { type CandidateMachine, type PendingJob, subtractResources } from '#pricing';
 import type { Settings, Tuning } from '#settings';
@@ -21,6 +14,7 @@
   SECOND,
 } from '#wire';
 import { findPlacement, type TrackedWorker, type WorkerRegistry } from '#workers';
+import { tasksToRetry } from './job-retries.js';
 import { OvertakingTasks } from './overtaking-tasks.js';
 import type { RunTimeEstimator } from './run-time-estimator.js';
 
@@ -38,8 +32,6 @@
 /** Backoff of a machine after a task failed on it. It doubles with each further consecutive failure. */
 const FAILURE_BACKOFF: Micros = 20 * SECOND;
 const MAX_BACKOFF_DOUBLINGS = 4;
-/** Maximum time between two attempts of a failing job, so that it resumes soon after the cause is fixed. */
-const MAX_JOB_BACKOFF: Micros = 45 * SECOND;
 /** A machine that is not up after this multiple of its nominal boot time is no longer expected to come up. */
 const BOOT_TIME_TOLERANCE = 2.2;
 /** Multiple of the priority doubling time beyond which a longer wait raises the priority quadratically. */
@@ -134,13 +126,11 @@
     return pending;
   }
 
-  /** Returns the number of consecutive failures of each job that is limited because of them. Keyed by job. */
+  /** Returns the number of independent failures of each job that is limited because of them. Keyed by job. */
   failingJobs(): Record<string, number> {
-    const failing: Record<string, number> = {};
-    for (const [id, { consecutiveFailures }] of this.options.replica.ledger.jobs) {
-      if (consecutiveFailures >= JOB_FAILURE_THRESHOLD) failing[id] = consecutiveFailures;
-    }
-    return failing;
+    const { jobs, failures } = this.options.replica.ledger;
+    const suspects = [...jobs.keys()].filter((job) => failures.isSuspect(job));
+    return Object.fromEntries(suspects.map((job) => [job, failures.ofJob(job)?.independentCount ?? 0]));
   }
 
   /** Returns the time within which tasks of a job class should start; Infinity if no objective sets one. */
@@ -214,21 +204,20 @@
     return this.options.clock.wall() < lastFailureAtMs * MS + FAILURE_BACKOFF * 2 ** doublings;
   }
 
-  /**
-   * Returns the number of the job's tasks to place. A job with JOB_FAILURE_THRESHOLD consecutive failures is retried
-   * with a single task (a gang with all of its tasks) after an exponential backoff, so that it uses little capacity.
-   * The first success ends the backoff.
-   */
+  /** Returns the number of the job's tasks to place. */
   private pendingTaskCount(spec: JobSpec, progress: JobProgress | undefined): number {
     const placedCount = progress?.placements.size ?? 0;
     // A new attempt of a gang may begin only once every task of the old attempt is proven stopped.
     if (spec.shape === 'gang' && placedCount > 0) return 0;
     const count = spec.taskCount - (progress?.done.count ?? 0) - placedCount;
-    if (!progress || progress.consecutiveFailures < JOB_FAILURE_THRESHOLD) return count;
-    const backoff = Math.min(MAX_JOB_BACKOFF, 2 ** progress.consecutiveFailures * SECOND);
-    const isInBackoff = this.options.clock.wall() < progress.lastFailureAtMs * MS + backoff;
-    if (isInBackoff || placedCount > 0) return 0;
-    return spec.shape === 'gang' ? count : Math.min(count, 1);
+    const { ledger } = this.options.replica;
+    if (!progress || !ledger.failures.isSuspect(spec.id)) return count;
+    return tasksToRetry(count, {
+      spec,
+      progress,
+      failures: ledger.failures,
+      wallTime: this.options.clock.wall(),
+    });
   }
 
   private hasUnrecordedTask(host: string, worker: TrackedWorker): boolean {
