--- a/packages/fleet/fleet-manager.test.ts
+++ b/packages/fleet/fleet-manager.test.ts
@@ -337,3 +337,18 @@
   await fleet.run(50 * SECOND);
   assert.ok(hostCount >= 400, `${hostCount} machines`);
 });
+
+// Guards against a job that never starts: the machines that it was given were returned while it waited for its share of
+// the team's limit.
+test('keeps an idle machine that a forecast has tasks for, and selects it for scale-in afterwards', async () => {
+  const fleet = new FleetHarness();
+  fleet.listed = null;
+  fleet.addMachine('n-1');
+  fleet.ledger.apply(0, { sequence: 1, recordedAtMs: 0, statuses: [['n-1', 'up']] });
+  fleet.demands = [{ ...shardDemand(0, []), plannedHosts: new Set(['n-1']) }];
+  await fleet.run(100 * SECOND);
+  assert.equal(fleet.destination('n-1'), null);
+  fleet.demands = [shardDemand(0, [])];
+  await fleet.run(2 * SECOND);
+  assert.equal(fleet.destination('n-1'), 'scale_in');
+});
--- a/packages/testkit/loopback-trial.ts
+++ b/packages/testkit/loopback-trial.ts
@@ -268,6 +268,7 @@
       limits: { heartbeatInterval: SECOND, workerLease: 6 * SECOND },
       capacity: { cpus: 4, gpus: 0, memGb: 16 },
       isFaulty: () => false,
+      responseCopies: null,
     };
   }
 
--- a/packages/testkit/sim-cluster-options.ts
+++ b/packages/testkit/sim-cluster-options.ts
@@ -22,6 +22,14 @@
 /** Returns how many machines of an offer the cloud has at this moment. */
 export type MachineCapacity = (offer: Omit<MachineFacts, 'host'>) => number;
 
+/** Copies of heartbeat responses, which reach their worker once more after it has carried them out. */
+export interface ResponseCopies {
+  /** Returns how much later than the response its copy arrives; null if there is no copy. */
+  readonly drawDelay: () => Micros | null;
+  /** Called for each start command in a copy that the worker carries out, with what it knows of the attempt then. */
+  readonly onStart: (attemptState: 'running' | 'exited' | 'unknown') => void;
+}
+
 /** Options of a simulated cluster. */
 export interface SimClusterOptions {
   /** Seed of all randomness. */
@@ -40,6 +48,8 @@
   readonly capacity?: number | MachineCapacity;
   /** True if a task that starts on the machine at this moment will fail; by default no machine is faulty. */
   readonly isFaulty?: (machine: MachineFacts) => boolean;
+  /** Copies of responses to workers; by default there are none. */
+  readonly responseCopies?: ResponseCopies;
   /** Maximum number of rows in one response of the state service to a list request; 1000 by default. */
   readonly pageRows?: number;
   /** Runs all nodes with the production version, and with these settings, until they are upgraded. */
--- a/packages/testkit/sim-cluster.ts
+++ b/packages/testkit/sim-cluster.ts
@@ -265,6 +265,7 @@
       limits,
       capacity: { cpus: type.cpus, gpus: type.gpus, memGb: type.memGb },
       isFaulty: this.faultOf(host),
+      responseCopies: this.options.responseCopies ?? null,
     };
   }
 
--- a/packages/testkit/sim-services.ts
+++ b/packages/testkit/sim-services.ts
@@ -11,7 +11,7 @@
 import { type GangTimes, SimGangs } from './sim-gang.js';
 import { SimStore, type StoreLimits } from './sim-store.js';
 import { SimWorker, type WorkerCapacity, type WorkerLimits } from './sim-worker.js';
-import type { MachineCapacity } from './sim-cluster-options.js';
+import type { MachineCapacity, ResponseCopies } from './sim-cluster-options.js';
 
 /** Options of one worker. */
 export interface WorkerSetup {
@@ -23,6 +23,7 @@
   readonly capacity: WorkerCapacity;
   /** True if a task that starts on this worker now will fail. */
   readonly isFaulty: () => boolean;
+  readonly responseCopies: ResponseCopies | null;
 }
 
 /** Dependencies and limits of {@link SimServices}. */
--- a/packages/testkit/sim-worker.ts
+++ b/packages/testkit/sim-worker.ts
@@ -11,6 +11,7 @@
 } from '#wire';
 import type { MachineFacts, InvariantChecker } from './invariants.js';
 import type { Gate, SimulationClock } from './sim-clock.js';
+import type { ResponseCopies } from './sim-cluster-options.js';
 import type { GangMember, SimGangs } from './sim-gang.js';
 
 interface Task {
@@ -24,6 +25,9 @@
   member: GangMember | null;
 }
 
+/** A worker drops a response that arrives this long after it sent the heartbeat. */
+const RESPONSE_TIMEOUT: Micros = 4 * SECOND;
+
 /** Time limits of a worker. */
 export interface WorkerLimits {
   heartbeatInterval: Micros;
@@ -52,6 +56,8 @@
   capacity: WorkerCapacity;
   /** True if a task that starts on this worker now will fail. */
   isFaulty: () => boolean;
+  /** Copies of the responses to this worker; null if there are none. */
+  responseCopies: ResponseCopies | null;
   /** Called for each launch command that the worker executes, with the fencing token of its heartbeat response. */
   onLaunch: (task: string, attempt: number, host: string, fencingToken: number) => void;
 }
@@ -133,6 +139,11 @@
     });
   }
 
+  /** Restarts the worker: it has no tasks, and a new incarnation. */
+  restart(): void {
+    if (this.isAlive) this.handleLeaseExpiry();
+  }
+
   /** Kills all tasks and starts a new worker incarnation. */
   private handleLeaseExpiry(): void {
     this.killAllTasks();
@@ -175,7 +186,7 @@
         ...(t.cause === null ? {} : { Cause: t.cause, Stored: t.isCheckpointed }),
       })),
     };
-    const reply = await this.httpClient(target.endpoint, 'POST', '/v1/report', body, 4 * SECOND).catch(
+    const reply = await this.httpClient(target.endpoint, 'POST', '/v1/report', body, RESPONSE_TIMEOUT).catch(
       () => null,
     );
     this.isHeartbeatInFlight = false;
@@ -193,6 +204,24 @@
       return;
     }
     this.applyResponse(reply.body, sentAt, incarnation);
+    const copyDelay = this.options.responseCopies?.drawDelay() ?? null;
+    if (copyDelay === null) return;
+    clock.at(copyDelay, () => {
+      this.applyResponseCopy(reply.body, sentAt, incarnation);
+    });
+  }
+
+  /** Carries out a copy of a response. Like any response it is dropped once its heartbeat was sent too long ago. */
+  private applyResponseCopy(response: WireFields, sentAt: Micros, incarnation: number): void {
+    if (!this.isAlive || this.options.clock.time - sentAt > RESPONSE_TIMEOUT) return;
+    if (incarnation !== this.incarnation || Number(response['Baton']) < this.fencingToken) return;
+    for (const command of Array.isArray(response['Orders']) ? response['Orders'].filter(isWireFields) : []) {
+      if (command['Verb'] !== 'launch') continue;
+      const task = this.tasks.get(`${String(command['Piece'])}#${Number(command['Try'])}`);
+      const state = task ? (task.status === 'exited' ? 'exited' : 'running') : 'unknown';
+      this.options.responseCopies?.onStart(state);
+    }
+    this.applyResponse(response, sentAt, incarnation);
   }
 
   private applyResponse(response: WireFields, sentAt: Micros, incarnation: number): void {
