--- a/packages/pricing/gang-placement.test.ts
+++ b/packages/pricing/gang-placement.test.ts
@@ -2,27 +2,11 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { samplePendingJob } from '#testkit';
+import { SAMPLE_PRICING_OPTIONS, samplePendingJob } from '#testkit';
 import { SECOND } from '#wire';
 import { planPreemptions, type Victim } from './preemption.js';
 import { runPricingRound } from './pricing-round.js';
-import type {
-  CandidateMachine,
-  PricingRoundInput,
-  PricingOptions,
-  PricingRoundResult,
-  PendingJob,
-} from './types.js';
-
-const OPTIONS: PricingOptions = {
-  passes: 30,
-  step: 0.1,
-  gpuShapeCost: 0.5,
-  gpuTaskWeight: 0.5,
-  guaranteeWeight: 0.5,
-  maxStarts: 1000,
-  choices: 4,
-};
+import type { CandidateMachine, PricingRoundInput, PricingRoundResult, PendingJob } from './types.js';
 
 function gang(id: string, size: number, change: Partial<PendingJob> = {}): PendingJob {
   const taskResources = { cpus: 2, gpus: 0, memGb: 4 };
@@ -56,7 +40,7 @@
     jobs,
     machines,
     prices: new Map(),
-    options: OPTIONS,
+    options: SAMPLE_PRICING_OPTIONS,
     teams: [
       {
         name: 'blue',
--- a/packages/pricing/pricing-round.test.ts
+++ b/packages/pricing/pricing-round.test.ts
@@ -2,22 +2,12 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { samplePendingJob } from '#testkit';
+import { SAMPLE_PRICING_OPTIONS, sampleCandidateMachine, samplePendingJob } from '#testkit';
 import { SECOND } from '#wire';
 import { fits, subtractResources } from './resources.js';
 import { shapeOf } from './shape-pools.js';
 import { runPricingRound } from './pricing-round.js';
-import type { CandidateMachine, PricingRoundInput, PricingOptions, PendingJob, Resources } from './types.js';
-
-const OPTIONS: PricingOptions = {
-  passes: 30,
-  step: 0.1,
-  gpuShapeCost: 0.5,
-  gpuTaskWeight: 0.5,
-  guaranteeWeight: 0.5,
-  maxStarts: 1000,
-  choices: 4,
-};
+import type { CandidateMachine, PricingRoundInput, PendingJob, Resources } from './types.js';
 
 function random(seed: number): () => number {
   const generator = xoroshiro128plus(seed);
@@ -29,23 +19,6 @@
   return samplePendingJob({ id, taskResources, pendingTaskCount: 1, taskCount: 1, ...change });
 }
 
-function machine(host: string, change: Partial<CandidateMachine> = {}): CandidateMachine {
-  const total = { cpus: 4, gpus: 0, memGb: 16 };
-  return {
-    host,
-    machineType: 'small',
-    zone: 'east',
-    spot: false,
-    total,
-    free: { ...total },
-    cachedImages: [],
-    busyFor: () => Infinity,
-    nextHeartbeatIn: 0,
-    hourlyCostPerCpu: 1,
-    ...change,
-  };
-}
-
 function input(
   jobs: PendingJob[],
   machines: CandidateMachine[],
@@ -58,7 +31,15 @@
     limit: { cpus: 12, gpus: 1 },
   });
   const teams = [team('blue'), team('green')];
-  return { jobs, machines, teams, prices: new Map(), options: OPTIONS, random: random(1), ...change };
+  return {
+    jobs,
+    machines,
+    teams,
+    prices: new Map(),
+    options: SAMPLE_PRICING_OPTIONS,
+    random: random(1),
+    ...change,
+  };
 }
 
 /** Generated fields of a job. The type makes the compiler reject a generator that misses a renamed field. */
@@ -119,7 +100,7 @@
         const machines = machineSpecs.map((spec, i) => {
           const total = spec.large ? { cpus: 8, gpus: 1, memGb: 64 } : { cpus: 4, gpus: 0, memGb: 16 };
           const free = { ...total, cpus: total.cpus - spec.used };
-          return machine(`n-${i}`, {
+          return sampleCandidateMachine(`n-${i}`, {
             ...spec,
             machineType: spec.large ? 'large' : 'small',
             total,
@@ -173,34 +154,38 @@
 
 test('starts prices from the last round, raises them where demand exceeds capacity, and lets them fall to zero', () => {
   const contendingJobs = [job('j-1', { pendingTaskCount: 6, taskCount: 6, priority: 5 })];
-  const first = runPricingRound(input(contendingJobs, [machine('n-1')])).prices.get('small');
+  const first = runPricingRound(input(contendingJobs, [sampleCandidateMachine('n-1')])).prices.get('small');
   assert.ok(first && first.cpu > 0);
   const prices = new Map([['small', first]]);
   const next = runPricingRound(
-    input(contendingJobs, [machine('n-1')], { prices, options: { ...OPTIONS, passes: 1 } }),
+    input(contendingJobs, [sampleCandidateMachine('n-1')], {
+      prices,
+      options: { ...SAMPLE_PRICING_OPTIONS, passes: 1 },
+    }),
   );
   assert.ok(Math.abs((next.prices.get('small')?.cpu ?? 0) - first.cpu) < 1);
   let idle: PricingRoundInput['prices'] = prices;
-  for (let i = 0; i < 4; i++) idle = runPricingRound(input([], [machine('n-1')], { prices: idle })).prices;
+  for (let i = 0; i < 4; i++)
+    idle = runPricingRound(input([], [sampleCandidateMachine('n-1')], { prices: idle })).prices;
   assert.equal(idle.get('small')?.cpu, 0);
 });
 
 test('prefers a cheaper shape over an expensive one, and places a task even if its utility is negative', () => {
   const expensive = new Map([[shapeOf('small', false), { cpu: 50, gpu: 0, mem: 0 }]]);
-  const options = { ...OPTIONS, passes: 0 };
-  const large = machine('n-2', { machineType: 'large' });
+  const options = { ...SAMPLE_PRICING_OPTIONS, passes: 0 };
+  const large = sampleCandidateMachine('n-2', { machineType: 'large' });
   const bothShapes = runPricingRound(
-    input([job('j-1')], [machine('n-1'), large], { prices: expensive, options }),
+    input([job('j-1')], [sampleCandidateMachine('n-1'), large], { prices: expensive, options }),
   );
   assert.deepEqual(bothShapes.starts, [{ job: 'j-1', host: 'n-2' }]);
   const expensiveOnly = runPricingRound(
-    input([job('j-1')], [machine('n-1')], { prices: expensive, options }),
+    input([job('j-1')], [sampleCandidateMachine('n-1')], { prices: expensive, options }),
   );
   assert.deepEqual(expensiveOnly.starts, [{ job: 'j-1', host: 'n-1' }]);
 });
 
 test('places the team within its guarantee first, and orders the jobs of one team by priority', () => {
-  const halfFreeMachine = [machine('n-1', { free: { cpus: 2, gpus: 0, memGb: 16 } })];
+  const halfFreeMachine = [sampleCandidateMachine('n-1', { free: { cpus: 2, gpus: 0, memGb: 16 } })];
   const teams = input([], []).teams.map((team) => ({
     ...team,
     used: { ...team.used, cpus: team.name === 'blue' ? 4 : 0 },
@@ -213,8 +198,8 @@
 
 test('chooses the shape of lower hourly cost if two shapes have equal utility', () => {
   const machines = [
-    machine('n-1', { hourlyCostPerCpu: 3 }),
-    machine('n-2', { spot: true, hourlyCostPerCpu: 1 }),
+    sampleCandidateMachine('n-1', { hourlyCostPerCpu: 3 }),
+    sampleCandidateMachine('n-2', { spot: true, hourlyCostPerCpu: 1 }),
   ];
   for (const order of [machines, [...machines].reverse()]) {
     assert.equal(runPricingRound(input([job('j-1')], order)).starts[0]?.host, 'n-2');
@@ -224,9 +209,9 @@
 test('reserves the half-free machine that becomes free soonest for a task that needs a whole machine', () => {
   const half = { cpus: 2, gpus: 0, memGb: 8 };
   const machines = [
-    machine('n-1', { free: { ...half }, busyFor: () => 20 * SECOND }),
-    machine('n-2', { free: { ...half }, busyFor: () => 5 * SECOND }),
-    machine('n-3', { free: { ...half }, busyFor: () => 300 * SECOND }),
+    sampleCandidateMachine('n-1', { free: { ...half }, busyFor: () => 20 * SECOND }),
+    sampleCandidateMachine('n-2', { free: { ...half }, busyFor: () => 5 * SECOND }),
+    sampleCandidateMachine('n-3', { free: { ...half }, busyFor: () => 300 * SECOND }),
   ];
   const whole = job('j-1', { priority: 4, taskResources: { cpus: 4, gpus: 0, memGb: 14 } });
   const small = job('j-2', { pendingTaskCount: 3 });
@@ -258,10 +243,12 @@
     },
   ];
   const runRound = (machines: CandidateMachine[]) =>
-    runPricingRound({ jobs, machines, teams, prices, options: OPTIONS, random: random(3) });
+    runPricingRound({ jobs, machines, teams, prices, options: SAMPLE_PRICING_OPTIONS, random: random(3) });
   for (let up = 1; up <= 20; up++) {
     const busy = { free: { cpus: 0, gpus: 0, memGb: 0 } };
-    prices = runRound([...Array(up).keys()].map((i) => machine(`n-${i}`, i < up - 1 ? busy : {}))).prices;
+    prices = runRound(
+      [...Array(up).keys()].map((i) => sampleCandidateMachine(`n-${i}`, i < up - 1 ? busy : {})),
+    ).prices;
   }
   return { prices, runRound };
 }
@@ -281,7 +268,7 @@
   const { prices, runRound } = simulateBoot([normal, urgent]);
   const cpu = prices.get('small')?.cpu ?? 0;
   assert.ok(cpu < 3, `CPU price ${cpu}, where no task pays more than 2`);
-  assert.equal(runRound([machine('n-0')]).starts[0]?.job, 'j-2');
+  assert.equal(runRound([sampleCandidateMachine('n-0')]).starts[0]?.job, 'j-2');
 });
 
 // Guards against idle machines: a job of the highest rank was limited to a machine type of which no machine came up.
@@ -304,10 +291,10 @@
     };
     const result = runPricingRound({
       jobs: [waitsForLarge, runsAnywhere],
-      machines: [machine('m-1')],
+      machines: [sampleCandidateMachine('m-1')],
       teams: [team],
       prices: new Map(),
-      options: OPTIONS,
+      options: SAMPLE_PRICING_OPTIONS,
       random: random(1),
     });
     assert.equal(result.unmetTaskCounts.get('j-1'), 8, 'machines for j-1 are still requested');
--- a/packages/pricing/task-slots.test.ts
+++ b/packages/pricing/task-slots.test.ts
@@ -3,36 +3,16 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { samplePendingJob } from '#testkit';
+import { SAMPLE_PRICING_OPTIONS, sampleCandidateMachine, samplePendingJob } from '#testkit';
 import { planPreemptions } from './preemption.js';
 import { runPricingRound } from './pricing-round.js';
-import type { CandidateMachine, PendingJob, PricingOptions, PricingRoundResult, Resources } from './types.js';
+import type { CandidateMachine, PendingJob, PricingRoundResult, Resources } from './types.js';
 
-const OPTIONS: PricingOptions = {
-  passes: 30,
-  step: 0.1,
-  gpuShapeCost: 0.5,
-  gpuTaskWeight: 0.5,
-  guaranteeWeight: 0.5,
-  maxStarts: 1000,
-  choices: 4,
-};
 const TINY = { cpus: 0.01, gpus: 0, memGb: 0.01 };
 
 function machine(host: string, change: Partial<Resources>): CandidateMachine {
   const total = { cpus: 4, gpus: 0, memGb: 16, ...change };
-  return {
-    host,
-    machineType: 'small',
-    zone: 'east',
-    spot: false,
-    total,
-    free: { ...total },
-    cachedImages: [],
-    busyFor: () => Infinity,
-    nextHeartbeatIn: 0,
-    hourlyCostPerCpu: 1,
-  };
+  return sampleCandidateMachine(host, { total, free: { ...total } });
 }
 
 function runRound(jobs: PendingJob[], machines: CandidateMachine[], seed = 1): PricingRoundResult {
@@ -43,7 +23,7 @@
     jobs,
     machines,
     prices: new Map(),
-    options: OPTIONS,
+    options: SAMPLE_PRICING_OPTIONS,
     teams: [{ name: 'blue', used, guaranteed, limit: { cpus: 1000, gpus: 0 } }],
     random: () => (generator.next() >>> 0) / 4294967296,
   });
--- a/packages/pricing/team-claims.test.ts
+++ b/packages/pricing/team-claims.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { samplePendingJob } from '#testkit';
+import { SAMPLE_PRICING_OPTIONS, sampleCandidateMachine, samplePendingJob } from '#testkit';
 import { SECOND } from '#wire';
 import { MAX_HOLD_TIME } from './held-jobs.js';
 import { countPlaceable } from './placeable-tasks.js';
@@ -17,20 +17,7 @@
 const WAITING = { age: 31 * SECOND, isOverdue: false };
 
 function machine(host: string, change: Partial<CandidateMachine> = {}): CandidateMachine {
-  const total = { cpus: 4, gpus: 0, memGb: 16 };
-  return {
-    host,
-    machineType: 'small',
-    zone: 'east',
-    spot: true,
-    total,
-    free: { ...total },
-    cachedImages: [],
-    busyFor: () => Infinity,
-    nextHeartbeatIn: 0,
-    hourlyCostPerCpu: 1,
-    ...change,
-  };
+  return sampleCandidateMachine(host, { spot: true, ...change });
 }
 
 function inputOf(
@@ -51,15 +38,7 @@
     machines,
     teams: [blue],
     prices: new Map(),
-    options: {
-      passes: 30,
-      step: 0.1,
-      gpuShapeCost: 0.5,
-      gpuTaskWeight: 0.5,
-      guaranteeWeight: 0.5,
-      maxStarts: 1000,
-      choices: 4,
-    },
+    options: SAMPLE_PRICING_OPTIONS,
     random: () => (generator.next() >>> 0) / 4294967296,
   };
 }
--- a/packages/testkit/index.ts
+++ b/packages/testkit/index.ts
@@ -4,6 +4,7 @@
 export * from './role-history.js';
 export * from './sample-job.js';
 export * from './sample-pending-job.js';
+export * from './sample-pricing-round.js';
 export * from './sample-settings.js';
 export * from './sim-clock.js';
 export * from './sim-cloud.js';
