--- a/packages/pricing/resources.ts
+++ b/packages/pricing/resources.ts
@@ -36,9 +36,9 @@
   return taskSlots === undefined || taskSlots >= 1;
 }
 
-/** True if the capacity is enough for some task: a task slot is free, and CPUs or memory. */
+/** True if the capacity is enough for some task: a task slot is free, and some of a resource. */
 export function hasFreeCapacity(capacity: Resources): boolean {
-  const hasResources = capacity.cpus > RESOURCE_TOLERANCE || capacity.memGb > RESOURCE_TOLERANCE;
+  const hasResources = Math.max(capacity.cpus, capacity.gpus, capacity.memGb) > RESOURCE_TOLERANCE;
   return hasTaskSlot(capacity) && hasResources;
 }
 
--- a/packages/pricing/segments.ts
+++ b/packages/pricing/segments.ts
@@ -1,5 +1,5 @@
 /** Splits pending tasks into segments of equal priority, within the limits of their teams. */
-import { countPlaceable } from './placeable-tasks.js';
+import { PlaceableCounter } from './placeable-tasks.js';
 import type { ShapePool } from './shape-pools.js';
 import { type QuotaClaim, TeamQuota } from './team-quota.js';
 import type { PricingRoundInput, TeamUsage, PendingJob } from './types.js';
@@ -15,7 +15,7 @@
 
 /** Values shared by all teams when their segments are built. */
 interface Ranking {
-  readonly pools: readonly ShapePool[];
+  readonly counter: PlaceableCounter;
   readonly weightedPriority: (job: PendingJob) => number;
   /** Added to the priority of tasks within their team's guarantee. */
   readonly guaranteeBonus: number;
@@ -30,7 +30,11 @@
   const weightedPriority = (job: PendingJob): number =>
     job.priority * (job.taskResources.gpus > 0 ? 1 + gpuTaskWeight : 1);
   const highestPriority = Math.max(1, ...input.jobs.map(weightedPriority));
-  const ranking = { pools, weightedPriority, guaranteeBonus: guaranteeWeight * highestPriority };
+  const ranking = {
+    counter: new PlaceableCounter(pools),
+    weightedPriority,
+    guaranteeBonus: guaranteeWeight * highestPriority,
+  };
   return input.teams.flatMap((team) => {
     const jobs = input.jobs.filter((job) => job.team === team.name);
     return segmentsOfTeam(team, jobs, ranking);
@@ -38,9 +42,9 @@
 }
 
 function segmentsOfTeam(team: TeamUsage, jobs: PendingJob[], ranking: Ranking): Segment[] {
-  const { pools, weightedPriority, guaranteeBonus } = ranking;
+  const { counter, weightedPriority, guaranteeBonus } = ranking;
   const quota = new TeamQuota(team);
-  const claims = new ClaimPolicy(pools);
+  const claims = new ClaimPolicy(counter);
   const isContended = quota.isContended(jobs);
   const segments: Segment[] = [];
   const rankedJobs = jobs.sort(
@@ -66,7 +70,7 @@
   /** True once a job of the team keeps a share for the time when capacity becomes free. */
   private hasFoothold = false;
 
-  constructor(private readonly pools: readonly ShapePool[]) {}
+  constructor(private readonly counter: PlaceableCounter) {}
 
   /** `fittingCount`: how many tasks of the job fit what jobs of higher rank left of the limit. */
   claimOf(job: PendingJob, fittingCount: number): QuotaClaim {
@@ -84,7 +88,7 @@
    * this foothold, so that it holds back little.
    */
   private usableCount(job: PendingJob): number {
-    const { now, onceEmpty } = countPlaceable(job, this.pools);
+    const { now, onceEmpty } = this.counter.count(job);
     if (now > 0 || onceEmpty === 0 || this.hasFoothold) return now;
     this.hasFoothold = true;
     return job.isGang ? job.pendingTaskCount : 1;
--- a/packages/pricing/team-claims.test.ts
+++ b/packages/pricing/team-claims.test.ts
@@ -5,7 +5,7 @@
 import { SAMPLE_PRICING_OPTIONS, sampleCandidateMachine, samplePendingJob } from '#testkit';
 import { SECOND } from '#wire';
 import { MAX_HOLD_TIME } from './held-jobs.js';
-import { countPlaceable } from './placeable-tasks.js';
+import { PlaceableCounter } from './placeable-tasks.js';
 import { runPricingRound } from './pricing-round.js';
 import { countFitting, subtractResources } from './resources.js';
 import { type Segment, segmentsWithinLimits } from './segments.js';
@@ -169,10 +169,11 @@
         );
         const input = inputOf(jobs, machines, { used: { cpus, gpus: 0, memGb: 0 } });
         const pools = poolByShape(machines, new Map());
+        const counter = new PlaceableCounter(pools);
         const expected = referenceSegments(jobs, input.teams[0]!);
         const placed = new Set(expected.map(({ job }) => job.id));
         for (const job of jobs) {
-          fc.pre(countPlaceable(job, pools).now === job.pendingTaskCount);
+          fc.pre(counter.count(job).now === job.pendingTaskCount);
           // A large task without its share holds back smaller ones, which is new.
           fc.pre(job.isGang || placed.has(job.id));
         }
