Comments: why a gang or a large task uses up the limit, and which jobs a provisional claim holds back

Need: read once more, 'recent' said two things, and the reason of the hold was lost. Result: comments only, the bundle is byte-identical; lint and pricing tests pass.

--- a/packages/pricing/segments.ts
+++ b/packages/pricing/segments.ts
@@ -75,8 +75,10 @@
   /** `fittingCount`: how many tasks of the job fit what jobs of higher rank left of the limit. */
   claimOf(job: PendingJob, fittingCount: number): QuotaClaim {
     const usable = this.usableCount(job);
+    // A gang, or a single task, that exceeds what is left of the limit still uses it up. Otherwise tasks of lower rank would
+    // take each CPU that becomes free and never leave enough for it.
     const firm = job.isGang ? usable : Math.min(usable, Math.max(1, fittingCount));
-    // A job counts as recent for as long as a machine takes to boot.
+    // Machines for an overdue job no longer count as booting, so it holds back nothing for their sake.
     const provisional = job.isOverdue === true ? 0 : Math.max(0, wantedCount(job, fittingCount) - firm);
     return { firm, provisional, firmWithinGuarantee: Math.min(firm, fittingCount) };
   }
--- a/packages/pricing/team-quota.ts
+++ b/packages/pricing/team-quota.ts
@@ -1,9 +1,9 @@
 /**
  * What a team may still use of its limit and of its guarantee in one round, and what its waiting jobs claim of both.
  *
- * A firm claim is made for tasks that can be placed now. A provisional claim is made for tasks of a recent job for which
- * no machine has capacity yet: it holds back only jobs that were accepted shortly before, so that capacity which nobody
- * uses is not withheld for long.
+ * A firm claim is made for tasks that can be placed now. A provisional claim is made for tasks whose machines may still be
+ * booting: it holds back only jobs accepted within MAX_RESERVATION_TIME, so that capacity which nobody uses is not withheld
+ * for long.
  */
 import { type Micros } from '#wire';
 import { MAX_RESERVATION_TIME } from './reservation.js';
@@ -14,7 +14,7 @@
 export interface QuotaClaim {
   /** Tasks that are subtracted from the limit for all jobs of lower rank. The limit may become negative. */
   readonly firm: number;
-  /** Tasks that are subtracted for recent jobs of lower rank only. */
+  /** Tasks that are subtracted only for jobs of lower rank that were accepted within MAX_RESERVATION_TIME. */
   readonly provisional: number;
   /** How many of the firm tasks count against the guarantee too. */
   readonly firmWithinGuarantee: number;
