Submissions: a gang that can never run for its zones is refused

A gang with `Scatter` whose only allowed type is offered in one zone got 201, stayed `pending` for good, and machines were rented for it.

Cause: infeasibleGangReason looked at `Scatter` only where the job itself names one zone; the zones of the types were asked for each task by itself, never for all tasks together.

What a zone may still take is asked of ZoneConstraint, the class that placement uses; the counting of placeable tasks now asks there, too. 422 names the field, its value and the reason. A repeated submission of an accepted job is answered with its state also while no machine types are known.

--- a/packages/daemon/answer-format.test.ts
+++ b/packages/daemon/answer-format.test.ts
@@ -145,27 +145,27 @@
   }
 });
 
-test('answers a job that can never run with 422 and the reason', async () => {
+test('answers a job that can never run with 422, the field with its value, and the reason', async () => {
+  const oneZoneAndSpread =
+    'Scatter true: all tasks can not be in one zone and spread over zones at the same time';
   const cases: [Partial<JobSpec>, string][] = [
-    [{ team: 'red' }, 'unknown team red'],
-    [{ cpus: 13 }, 'a task fits no allowed machine type'],
-    [{ machineTypes: ['huge'] }, 'a task fits no allowed machine type'],
-    [{ zone: 'north' }, 'a task fits no allowed machine type'],
-    [{ gpus: 1 }, 'a task needs more than the limit of team blue'],
-    [{ shape: 'gang', taskCount: 11 }, 'all tasks together need more than the limit of team blue'],
+    [{ team: 'red' }, 'Crew "red": unknown team'],
+    [{ cpus: 13 }, 'Cpus 13: a task needs more than any allowed machine type has'],
+    [{ machineTypes: ['huge'] }, 'Builds ["huge"]: no such machine type is offered'],
+    [{ zone: 'north' }, 'Hall "north": no machine type that a task fits is offered in this zone'],
+    [{ gpus: 1 }, 'Gpus 1: a task needs more than the limit of team blue'],
+    [{ shape: 'gang', taskCount: 11 }, 'Cpus 2: all tasks together need more than the limit of team blue'],
+    [{ shape: 'gang', singleZone: true, spreadZones: true }, oneZoneAndSpread],
+    [{ shape: 'gang', zone: 'east', spreadZones: true }, oneZoneAndSpread],
     [
-      { shape: 'gang', singleZone: true, spreadZones: true },
-      'all tasks can not be in one zone and spread over zones at the same time',
-    ],
-    [
-      { shape: 'gang', zone: 'east', spreadZones: true },
-      'all tasks can not be in one zone and spread over zones at the same time',
+      { shape: 'gang', cpus: 6, spreadZones: true, machineTypes: ['large'] },
+      'Scatter true: at most half of the tasks may be in one zone, and machine types that a task fits are offered in east only',
     ],
   ];
   const { jobService, commits } = jobServiceFixture(ACCEPTING_STORE);
   for (const [overrides, error] of cases) {
     const response = await jobService.submitJob(encodeSubmission(sampleJob('j-1', overrides)));
-    assert.equal(responseText(response), `422 {"error":"${error}"}`);
+    assert.equal(responseText(response), `422 ${JSON.stringify({ error })}`);
   }
   assert.deepEqual(commits, []);
 });
--- a/packages/daemon/job-service.ts
+++ b/packages/daemon/job-service.ts
@@ -127,7 +127,9 @@
   /** Returns the response to a job that can't be accepted now; null if it can. */
   private findRejection(job: JobSpec): ServiceResponse | Promise<ServiceResponse> | null {
     const { replica, settings } = this.options;
-    if (replica.machineTypes.size === 0) return unavailable('machine types not known yet');
+    // A job that was accepted earlier is known whatever the machine types are now.
+    if (replica.machineTypes.size === 0)
+      return this.jobStateResponse(job.id, unavailable('machine types not known yet'));
     const machineTypes = replica.machineTypes.values();
     const reason = infeasibleReason(job, { teams: settings.teams, machineTypes });
     if (reason !== null) return this.jobStateResponse(job.id, { status: 422, body: { error: reason } });
--- a/packages/daemon/stored-rows.test.ts
+++ b/packages/daemon/stored-rows.test.ts
@@ -142,7 +142,10 @@
 });
 
 test('stores every field of array jobs and gang jobs, and reads it back', async () => {
-  const fixture = new JobServiceFixture({ ...TYPE_ROWS, 'mw/now/member/node-0': MEMBER_ROW });
+  // The gang needs GPUs and must be spread, so the type that has some is offered in two zones.
+  const large = TYPE_ROWS['mw/now/type/large'].replace('["east"]', '["east","west"]');
+  const rowsBefore = { ...TYPE_ROWS, 'mw/now/type/large': large, 'mw/now/member/node-0': MEMBER_ROW };
+  const fixture = new JobServiceFixture(rowsBefore);
   await fixture.advance();
   assert.equal(await fixture.submit(ARRAY_JOB), 201);
   assert.equal(await fixture.submit(GANG_JOB), 201);
--- a/packages/pricing/bin-packing.ts
+++ b/packages/pricing/bin-packing.ts
@@ -56,7 +56,7 @@
       continue;
     }
     subtractResources(machine.free, job.taskResources, 1);
-    zoneConstraint.onTaskPlaced(machine.zone);
+    zoneConstraint.onTasksPlaced(machine.zone, 1);
     chosen.push(machine);
   }
 }
--- a/packages/pricing/gang-placement.ts
+++ b/packages/pricing/gang-placement.ts
@@ -39,7 +39,7 @@
   const sites = rankedSites(job, pools);
   for (const site of sites) {
     if (site.taskCapacity < job.pendingTaskCount) break;
-    const zoneConstraint = new ZoneConstraint(boundToZone(job, site.zone), []);
+    const zoneConstraint = new ZoneConstraint(boundToZone(job, site.zone));
     const candidatePools = narrowToSoonestHeartbeats(job, pools, zoneConstraint);
     const machines = packTasks(
       { job, pools: candidatePools, zoneConstraint, count: job.pendingTaskCount },
--- a/packages/pricing/index.ts
+++ b/packages/pricing/index.ts
@@ -5,3 +5,4 @@
 export * from './pricing-round.js';
 export * from './types.js';
 export * from './preemption.js';
+export { hasZoneConstraint, ZoneConstraint, type ZoneConstrainedJob } from './zone-constraint.js';
--- a/packages/pricing/placeable-tasks.ts
+++ b/packages/pricing/placeable-tasks.ts
@@ -2,7 +2,7 @@
 import { countFitting, hasFreeCapacity } from './resources.js';
 import { isFeasible, type ShapePool } from './shape-pools.js';
 import type { CandidateMachine, PendingJob, Resources } from './types.js';
-import { maxTasksPerZone } from './zone-constraint.js';
+import { ZoneConstraint } from './zone-constraint.js';
 
 /** Numbers of pending tasks of a job that the machines could take, if no other job used them. */
 export interface PlaceableTasks {
@@ -92,11 +92,7 @@
 
 /** Returns how many tasks may use the capacity of the zones under the job's constraints on several zones. */
 function usableInZones(job: PendingJob, byZone: ReadonlyMap<string, number>): number {
-  const counts = [...byZone].map(([zone, count]) => {
-    if (!job.spreadZones) return { zone, count };
-    return { zone, count: Math.min(count, maxTasksPerZone(job) - (job.placedByZone.get(zone) ?? 0)) };
-  });
-  if (!job.singleZone) return counts.reduce((sum, { count }) => sum + Math.max(0, count), 0);
-  const isAllowed = (zone: string): boolean => job.placedByZone.size === 0 || job.placedByZone.has(zone);
-  return Math.max(0, ...counts.filter(({ zone }) => isAllowed(zone)).map(({ count }) => count));
+  const zones = new ZoneConstraint(job);
+  const counts = [...byZone].map(([zone, count]) => Math.min(count, zones.remainingIn(zone)));
+  return job.singleZone ? Math.max(0, ...counts) : counts.reduce((sum, count) => sum + count, 0);
 }
--- a/packages/pricing/placement.ts
+++ b/packages/pricing/placement.ts
@@ -199,7 +199,7 @@
   private zoneConstraintOf(job: PendingJob): ZoneConstraint {
     let zoneConstraint = this.zoneConstraints.get(job.id);
     if (!zoneConstraint) {
-      zoneConstraint = new ZoneConstraint(job, this.input.machines);
+      zoneConstraint = ZoneConstraint.onMachines(job, this.input.machines);
       this.zoneConstraints.set(job.id, zoneConstraint);
     }
     return zoneConstraint;
--- a/packages/wire/submission-codec.ts
+++ b/packages/wire/submission-codec.ts
@@ -95,30 +95,40 @@
   };
 }
 
+/** The name of each field in the body of a submission. */
+const WIRE_FIELD_NAMES: Readonly<Record<keyof JobSpec, string>> = {
+  id: 'Uid',
+  jobClass: 'Lane',
+  team: 'Crew',
+  shape: 'Shape',
+  rank: 'Rank',
+  taskCount: 'Pieces',
+  cpus: 'Cpus',
+  gpus: 'Gpus',
+  memGb: 'MemGb',
+  image: 'Bundle',
+  imageGb: 'SizeGb',
+  machineTypes: 'Builds',
+  zone: 'Hall',
+  singleZone: 'SamePlace',
+  spreadZones: 'Scatter',
+  allowsSpot: 'Loaners',
+  estimateS: 'ExpectS',
+  checkpointS: 'BookmarkS',
+  saveS: 'StashS',
+  deadlineS: 'DueS',
+};
+
+/** Returns the name of a field in the body of a submission. */
+export function submissionFieldName(field: keyof JobSpec): string {
+  return WIRE_FIELD_NAMES[field];
+}
+
 /** Encodes a job as the body of a submission, the inverse of {@link parseSubmission}. */
 export function encodeSubmission(job: JobSpec): WireFields {
-  return {
-    Uid: job.id,
-    Lane: job.jobClass,
-    Crew: job.team,
-    Shape: WIRE_SHAPES[job.shape],
-    Rank: job.rank,
-    Pieces: job.taskCount,
-    Cpus: job.cpus,
-    Gpus: job.gpus,
-    MemGb: job.memGb,
-    Bundle: job.image,
-    SizeGb: job.imageGb,
-    Builds: job.machineTypes,
-    Hall: job.zone,
-    SamePlace: job.singleZone,
-    Scatter: job.spreadZones,
-    Loaners: job.allowsSpot,
-    ExpectS: job.estimateS,
-    BookmarkS: job.checkpointS,
-    StashS: job.saveS,
-    DueS: job.deadlineS,
-  };
+  const body: WireFields = {};
+  for (const [field, name] of Object.entries(WIRE_FIELD_NAMES)) body[name] = job[field as keyof JobSpec];
+  return { ...body, [WIRE_FIELD_NAMES.shape]: WIRE_SHAPES[job.shape] };
 }
 
 /** Reads the job id from the body of a submission that may be invalid otherwise. Returns null if it has no valid id. */
