Gangs: candidates and missing tasks of a spread gang are counted by zone

Seen by callers: a gang with `Scatter` stays pending beside enough free capacity in two zones, and its demand never falls below one task, so that machines are requested for it for ever.

Cause: the capacity of all zones was summed, also what one zone may not take, and the candidates were narrowed to the machines with the image or the soonest heartbeat, which may all be in one zone. The missing tasks were at least one however much was there, and did not say where.

Change: a gang's capacity is counted by zone up to what the zone may take, its candidates are narrowed within each zone, and the round says how many tasks of each zone are used or usable (tasksByZone), which becomes part of the unmet demand.

--- a/packages/pricing/gang-placement.ts
+++ b/packages/pricing/gang-placement.ts
@@ -18,6 +18,8 @@
       readonly missingTaskCount: number;
       /** The zone that suits the gang best; null if its tasks may run in different zones or no machine is feasible. */
       readonly zone: string | null;
+      /** Number of tasks for which each zone has free capacity, as far as the zone constraints let them use it. */
+      readonly usableByZone: ReadonlyMap<string, number>;
       /** Hosts of the machines whose free capacity is reserved for the gang. */
       readonly reservedHosts: readonly string[];
     };
@@ -25,9 +27,11 @@
 /** A zone that may take a gang (null if its tasks may run in different zones), with the feasible machines there. */
 interface CandidateSite {
   readonly zone: string | null;
-  readonly machines: CandidateMachine[];
-  /** Number of the gang's tasks that the machines have free capacity for. */
-  taskCapacity: number;
+  readonly machines: readonly CandidateMachine[];
+  /** Number of the gang's tasks that may use the free capacity of each zone. Keyed by zone. */
+  readonly usableByZone: ReadonlyMap<string, number>;
+  /** Number of the gang's tasks that may use the free capacity of the site. */
+  readonly taskCapacity: number;
 }
 
 /** Places all tasks of a gang or none. Capacity allocated for a part of the gang is released. */
@@ -40,7 +44,7 @@
   for (const site of sites) {
     if (site.taskCapacity < job.pendingTaskCount) break;
     const zoneConstraint = new ZoneConstraint(boundToZone(job, site.zone));
-    const candidatePools = narrowToSoonestHeartbeats(job, pools, zoneConstraint);
+    const candidatePools = narrowPools(job, pools, { site, zoneConstraint });
     const machines = packTasks(
       { job, pools: candidatePools, zoneConstraint, count: job.pendingTaskCount },
       options,
@@ -54,6 +58,24 @@
 /** A gang's machines are chosen from candidates with capacity for this multiple of its tasks. */
 const CANDIDATE_FACTOR = 1.5;
 
+/** Returns the candidates for the gang; for one that must be spread, those of each zone, so that no zone lacks any. */
+function narrowPools(
+  job: PendingJob,
+  pools: readonly ShapePool[],
+  { site, zoneConstraint }: { site: CandidateSite; zoneConstraint: ZoneConstraint },
+): ShapePool[] {
+  const isCandidate = ({ zone, free }: CandidateMachine): boolean =>
+    zoneConstraint.allows(zone) && countFitting(job.taskResources, free) > 0;
+  if (!job.spreadZones) return narrowToSoonestHeartbeats(job, pools, isCandidate);
+  return [...site.usableByZone].flatMap(([zone, count]) =>
+    narrowToSoonestHeartbeats(
+      { ...job, pendingTaskCount: count },
+      pools,
+      (machine) => machine.zone === zone && isCandidate(machine),
+    ),
+  );
+}
+
 /**
  * Returns as many shapes, best first, as the gang needs. The last one is narrowed to a few machines: those with the
  * image cached come first, then those whose next heartbeat is due soonest. A gang starts only once all of its tasks
@@ -62,14 +84,12 @@
 function narrowToSoonestHeartbeats(
   job: PendingJob,
   pools: readonly ShapePool[],
-  zoneConstraint: ZoneConstraint,
+  isCandidate: (machine: CandidateMachine) => boolean,
 ): ShapePool[] {
   const chosen: ShapePool[] = [];
   let remaining = job.pendingTaskCount;
   for (const pool of pools) {
-    const candidates = pool.machines.filter(
-      (machine) => zoneConstraint.allows(machine.zone) && countFitting(job.taskResources, machine.free) > 0,
-    );
+    const candidates = pool.machines.filter(isCandidate);
     const taskCapacity = taskCapacityOf(candidates, job);
     if (taskCapacity >= remaining) {
       const imagesToFetch = (machine: CandidateMachine): number =>
@@ -107,29 +127,42 @@
 
 /** Returns the gang's sites. Those with capacity for all of it come first if they have its image, then by capacity. */
 function rankedSites(job: PendingJob, pools: readonly ShapePool[]): CandidateSite[] {
-  const sites = new Map<string | null, CandidateSite>();
-  for (const pool of pools) {
-    for (const machine of pool.machines) addToSite(sites, machine, job);
+  const machinesBySite = new Map<string | null, CandidateMachine[]>();
+  for (const { machines } of pools) {
+    for (const machine of machines) {
+      if (job.zone !== null && machine.zone !== job.zone) continue;
+      const zone = job.singleZone ? machine.zone : null;
+      const siteMachines = machinesBySite.get(zone);
+      if (siteMachines) siteMachines.push(machine);
+      else machinesBySite.set(zone, [machine]);
+    }
   }
-  const ranked = [...sites.values()].map((site) => ({ site, imageHits: imageHitsOf(site, job) }));
+  const sites = [...machinesBySite].map(([zone, machines]) => candidateSite(job, zone, machines));
+  const ranked = sites.map((site) => ({ site, imageHits: imageHitsOf(site, job) }));
   ranked.sort((a, b) => b.imageHits - a.imageHits || b.site.taskCapacity - a.site.taskCapacity);
   return ranked.map(({ site }) => site);
 }
 
-function addToSite(
-  sites: Map<string | null, CandidateSite>,
-  machine: CandidateMachine,
+function candidateSite(
   job: PendingJob,
-): void {
-  if (job.zone !== null && machine.zone !== job.zone) return;
-  const zone = job.singleZone ? machine.zone : null;
-  let site = sites.get(zone);
-  if (!site) {
-    site = { zone, machines: [], taskCapacity: 0 };
-    sites.set(zone, site);
+  zone: string | null,
+  machines: readonly CandidateMachine[],
+): CandidateSite {
+  const usableByZone = new Map<string, number>();
+  for (const machine of machines) {
+    const count = countFitting(job.taskResources, machine.free);
+    usableByZone.set(machine.zone, (usableByZone.get(machine.zone) ?? 0) + count);
+  }
+  if (job.spreadZones) limitByZone(usableByZone, new ZoneConstraint(job));
+  const taskCapacity = [...usableByZone.values()].reduce((sum, count) => sum + count, 0);
+  return { zone, machines, usableByZone, taskCapacity };
+}
+
+/** Reduces the number of tasks in each zone to what the constraint leaves. */
+function limitByZone(countByZone: Map<string, number>, constraint: ZoneConstraint): void {
+  for (const [zone, count] of countByZone) {
+    countByZone.set(zone, Math.min(count, constraint.remainingIn(zone)));
   }
-  site.machines.push(machine);
-  site.taskCapacity += countFitting(job.taskResources, machine.free);
 }
 
 /** Returns how many of the gang's tasks would start without an image download; 0 if the site cannot take the gang. */
@@ -147,12 +180,24 @@
 function reserveForGang(job: PendingJob, sites: readonly CandidateSite[]): GangPlacement {
   const best = sites[0];
   if (!best)
-    return { kind: 'unplaced', missingTaskCount: job.pendingTaskCount, zone: null, reservedHosts: [] };
+    return {
+      kind: 'unplaced',
+      missingTaskCount: job.pendingTaskCount,
+      zone: null,
+      usableByZone: new Map(),
+      reservedHosts: [],
+    };
   const missingTaskCount = Math.max(1, job.pendingTaskCount - best.taskCapacity);
   // For a gang that must be spread over zones, capacity in one zone does not show when the gang can start.
   const reservedHosts =
     !job.spreadZones && becomesFreeInTime(job, best) ? reserveCapacity(job, best.machines) : [];
-  return { kind: 'unplaced', missingTaskCount, zone: best.zone, reservedHosts };
+  return {
+    kind: 'unplaced',
+    missingTaskCount,
+    zone: best.zone,
+    usableByZone: best.usableByZone,
+    reservedHosts,
+  };
 }
 
 /** Subtracts the resources of as many of the gang's tasks as fit from the free capacity. Returns the hosts. */
--- a/packages/pricing/placement.ts
+++ b/packages/pricing/placement.ts
@@ -8,7 +8,7 @@
 import { reserveMachines } from './reservation.js';
 import type { Segment } from './segments.js';
 import type { CandidateMachine, PricingRoundInput, PricingRoundResult, PendingJob } from './types.js';
-import { ZoneConstraint } from './zone-constraint.js';
+import { hasZoneConstraint, ZoneConstraint } from './zone-constraint.js';
 
 /** A segment with its feasible shapes, best first, and its net utility on the best shape. */
 interface RankedSegment {
@@ -78,6 +78,7 @@
   private readonly unmetTaskCounts = new Map<string, number>();
   private readonly reservedHosts = new Set<string>();
   private readonly preferredZones = new Map<string, string>();
+  private readonly tasksByZone = new Map<string, ReadonlyMap<string, number>>();
   private readonly zoneConstraints = new Map<string, ZoneConstraint>();
   private readonly packingOptions: BinPackingOptions;
   private readonly remainingLimits: RemainingLimits;
@@ -125,6 +126,7 @@
       heldTaskCounts,
       heldTeams: this.heldTeams,
       preferredZones: this.preferredZones,
+      tasksByZone: this.tasksByZone,
       free: new Map(machines.map((machine) => [machine.host, machine.free])),
       reservedHosts: this.reservedHosts,
     };
@@ -142,6 +144,7 @@
     }
     this.unmetTaskCounts.set(job.id, placement.missingTaskCount);
     if (placement.zone !== null) this.preferredZones.set(job.id, placement.zone);
+    else if (job.spreadZones) this.tasksByZone.set(job.id, placement.usableByZone);
     this.addReservedHosts(placement.reservedHosts);
   }
 
@@ -154,6 +157,7 @@
     let remaining = segment.count - machines.length;
     if (remaining === 0) return;
     this.unmetTaskCounts.set(job.id, (this.unmetTaskCounts.get(job.id) ?? 0) + remaining);
+    if (hasZoneConstraint(job)) this.tasksByZone.set(job.id, zoneConstraint.tasksByZone);
     for (const pool of pools) {
       const hosts = reserveMachines(pool.machines, { job, zoneConstraint, count: remaining });
       remaining -= hosts.length;
--- a/packages/pricing/types.ts
+++ b/packages/pricing/types.ts
@@ -139,6 +139,11 @@
   heldTeams: ReadonlySet<string>;
   /** The most suitable zone of each unplaced gang whose tasks must run in the same zone. Keyed by job. */
   preferredZones: Map<string, string>;
+  /**
+   * Number of tasks in each zone that the zone constraints count, for each job with such constraints and unmet tasks: tasks
+   * on machines, and for a gang that must be spread also those that free capacity could take. Keyed by job, then by zone.
+   */
+  tasksByZone: ReadonlyMap<string, ReadonlyMap<string, number>>;
   /** Capacity that the round leaves free on each machine. Keyed by host. */
   free: Map<string, Resources>;
   /** Hosts of machines reserved for tasks that need more capacity than is free there at present. */
--- a/packages/scheduling/unmet-demand.ts
+++ b/packages/scheduling/unmet-demand.ts
@@ -4,11 +4,12 @@
 
 /**
  * Returns the tasks for which no machine had capacity, sorted by priority and then by order of acceptance. A gang that
- * must run in one zone is returned with the zone that suits it best.
+ * must run in one zone is returned with the zone that suits it best, another job with zone constraints with the tasks that
+ * already use up a part of what each zone may take.
  */
 export function unmetDemandOf(
   jobs: readonly PendingJob[],
-  { unmetTaskCounts, preferredZones }: PricingRoundResult,
+  { unmetTaskCounts, preferredZones, tasksByZone }: PricingRoundResult,
 ): UnmetDemand[] {
   return jobs
     .filter(({ id }) => (unmetTaskCounts.get(id) ?? 0) > 0)
@@ -16,8 +17,9 @@
     .map((job): UnmetDemand => {
       const count = unmetTaskCounts.get(job.id) ?? 0;
       const zone = preferredZones.get(job.id);
-      if (zone === undefined) return { job, count };
-      return { job: { ...job, zone }, count, canUseOtherZones: job.zone === null };
+      if (zone !== undefined) return { job: { ...job, zone }, count, canUseOtherZones: job.zone === null };
+      const placedByZone = tasksByZone.get(job.id);
+      return { job: placedByZone ? { ...job, placedByZone } : job, count };
     });
 }
 
