Fleet: machines are rented, moved, freed and kept by zone for jobs with zone constraints

Seen by callers: a gang with `Scatter` whose zones need different machine types never starts while machines of the cheaper type are rented again and again; one that lacks machines in a zone, and an array with `SamePlace`, get machines that they can't use; none of them is given back while the job waits.

Cause: scale-out took the cheapest offer for each missing task and knew one zone only for gangs with `SamePlace`; transfers and preemption looked at each machine by itself; scale-in kept every idle machine while any task was unmet.

Change: pending capacity, planned machines, transfers and preemptions are counted in the job's ZoneConstraint. A job with `SamePlace` and no task on a machine gets all machines in the zone where they cost least. For a spread gang nothing is requested unless all of it can get machines; while the cloud lacks machines in a zone, that zone is asked first and the others once these are on their way.

--- a/packages/fleet/fleet-manager.ts
+++ b/packages/fleet/fleet-manager.ts
@@ -82,10 +82,10 @@
     const { termProof } = this;
     if (!termProof) return;
     this.machineList.trackMachines(this.state().ledger);
-    this.scaleOut.plan(demands, termProof);
+    const blockedGangs = this.scaleOut.plan(demands, termProof);
     this.scaleOut.sendAll(termProof);
     void this.adoption.adoptListed(termProof);
-    this.scaleIn.selectIdle(demands);
+    this.scaleIn.selectIdle(demands, blockedGangs);
     this.scaleIn.selectUnusable();
     void this.deletion.deleteReleased(termProof);
     if (!this.changes.isEmpty) this.requestRound();
--- a/packages/fleet/pending-capacity.test.ts
+++ b/packages/fleet/pending-capacity.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { PendingJob } from '#pricing';
+import { type PendingJob, ZoneConstraint } from '#pricing';
 import { samplePendingJob } from '#testkit';
 import { allocatePending, countFittingPending, type PendingCapacity } from './pending-capacity.js';
 
@@ -30,7 +30,9 @@
     const listed = [1, 1, 1].map((one) => machines(one));
     listed.push(machines(1, { zone: 'west' }), machines(1, { zone: 'west' }));
     const demand = job(taskCpus);
-    assert.equal(allocatePending(counted, demand, count), allocatePending(listed, demand, count));
+    const allocate = (pending: PendingCapacity[]): number =>
+      allocatePending(pending, demand, { count, zones: new ZoneConstraint(demand) });
+    assert.equal(allocate(counted), allocate(listed));
     assert.deepEqual(freeCpus(counted), freeCpus(listed), `${count} tasks of ${taskCpus} CPUs`);
     assert.equal(countFittingPending(counted, job(2)), countFittingPending(listed, job(2)));
   }
@@ -39,7 +41,9 @@
 // Guards against memory that grows with the machines asked for: a group must not be split once for each machine.
 test('the number of groups grows with the demands, not with the machines', () => {
   const pending = [machines(100_000)];
-  for (let demand = 0; demand < 10; demand++) allocatePending(pending, job(3), 5000 + demand);
+  const zones = new ZoneConstraint(job(3));
+  for (let demand = 0; demand < 10; demand++)
+    allocatePending(pending, job(3), { count: 5000 + demand, zones });
   assert.ok(pending.length <= 21, `${pending.length} groups`);
   assert.equal(
     pending.reduce((sum, { machineCount }) => sum + machineCount, 0),
--- a/packages/fleet/pending-capacity.ts
+++ b/packages/fleet/pending-capacity.ts
@@ -1,5 +1,5 @@
 /** Capacity that is about to become usable, counted in groups of alike machines. */
-import { type Resources, countFitting, subtractResources, type PendingJob } from '#pricing';
+import { type Resources, countFitting, subtractResources, type PendingJob, ZoneConstraint } from '#pricing';
 import { type Offer, isFeasible } from './offers.js';
 
 /**
@@ -12,12 +12,22 @@
   machineCount: number;
   /** Capacity of each of the machines that is not allocated yet. */
   free: Resources;
+  /** True if the cloud has not answered yet whether it has these machines; false if absent. */
+  readonly isRequested?: boolean;
+}
+
+/** Tasks to which pending capacity is allocated. */
+export interface CapacityDemand {
+  /** Maximum number of tasks. */
+  readonly count: number;
+  /** What each zone may still take of the job's tasks. The allocated tasks are counted in it. */
+  readonly zones: ZoneConstraint;
 }
 
 /** Returns a copy that can be allocated without a change of the original. */
 export function copyPending(group: PendingCapacity): PendingCapacity {
-  const { machineType, zone, spot, machineCount, free } = group;
-  return { machineType, zone, spot, machineCount, free: { ...free } };
+  const { machineType, zone, spot, machineCount, free, isRequested = false } = group;
+  return { machineType, zone, spot, machineCount, free: { ...free }, isRequested };
 }
 
 /**
@@ -25,14 +35,20 @@
  * group of which only some machines are allocated is split into at most three. Returns the number of tasks that got
  * capacity.
  */
-export function allocatePending(pendingCapacity: PendingCapacity[], job: PendingJob, count: number): number {
+export function allocatePending(
+  pendingCapacity: PendingCapacity[],
+  job: PendingJob,
+  { count, zones }: CapacityDemand,
+): number {
   let remaining = count;
   for (let i = 0; i < pendingCapacity.length && remaining > 0; i++) {
     const group = pendingCapacity[i];
     if (!group || !isFeasible(job, group)) continue;
-    const tasksPerMachine = Math.min(remaining, countFitting(job.taskResources, group.free));
+    const maxTasks = Math.min(remaining, zones.remainingIn(group.zone));
+    const tasksPerMachine = Math.min(maxTasks, countFitting(job.taskResources, group.free));
     if (tasksPerMachine === 0) continue;
-    const { allocated, splitOff } = allocateGroup(group, job, { remaining, tasksPerMachine });
+    const { allocated, splitOff } = allocateGroup(group, job, { remaining: maxTasks, tasksPerMachine });
+    zones.onTasksPlaced(group.zone, allocated);
     remaining -= allocated;
     if (splitOff.length > 0) pendingCapacity.splice(i + 1, 0, ...splitOff);
   }
--- a/packages/fleet/requested-capacity.ts
+++ b/packages/fleet/requested-capacity.ts
@@ -11,6 +11,7 @@
   readonly zone: string;
   readonly spot: boolean;
   readonly machineCount: number;
+  readonly isRequested = true;
 
   constructor(
     readonly requestId: string,
--- a/packages/fleet/scale-in-selection.ts
+++ b/packages/fleet/scale-in-selection.ts
@@ -1,8 +1,10 @@
 /** Selects the machines that leave the fleet: idle machines and unusable ones. */
 import type { MachineEntry } from '#cluster';
+import { fits, hasZoneConstraint, ZoneConstraint } from '#pricing';
 import { type Micros, SECOND } from '#wire';
 import type { FleetContext, ShardDemand } from './fleet-context.js';
 import { ageOf, isBooting } from './machine-age.js';
+import { isFeasible, type Offer, resourcesOf, type UnmetDemand } from './offers.js';
 import { type IdleMachine, planScaleIn, type ScaleInOptions } from './scale-in-planner.js';
 
 const SCALE_IN_OPTIONS: ScaleInOptions = {
@@ -25,11 +27,13 @@
   }
 
   /**
-   * Selects empty machines that were reclaimed or quarantined, and idle machines unless a shard has unmet demand or is to
-   * use them.
+   * Selects empty machines that were reclaimed or quarantined, and idle machines unless a shard has unmet demand for them or
+   * is to use them. `blockedGangs`: ids of the gangs for which no machines can be requested at present.
    */
-  selectIdle(demands: readonly ShardDemand[]): void {
-    const hasUnmetDemand = demands.some(({ unmetDemand }) => unmetDemand.length > 0);
+  selectIdle(demands: readonly ShardDemand[], blockedGangs: ReadonlySet<string>): void {
+    const unmetDemand = demands
+      .flatMap((demand) => demand.unmetDemand)
+      .filter(({ job }) => !blockedGangs.has(job.id));
     const isPlanned = (host: string): boolean => demands.some(({ plannedHosts }) => plannedHosts.has(host));
     const { state, changes, clock } = this.context;
     const { ledger, isInWarmPool } = state();
@@ -44,7 +48,7 @@
         changes.setTransferTarget(host, 'scale_in', status);
       if (status !== 'up') continue;
       const idleFor = this.idleTime(host, now);
-      if (!hasUnmetDemand && !isInWarmPool(host) && !isPlanned(host))
+      if (!isInWarmPool(host) && !isPlanned(host) && !this.mayServe(machine, unmetDemand))
         idle.push({ host, idleFor, age: ageOf(machine, clock), spot });
     }
     for (const host of planScaleIn(idle, SCALE_IN_OPTIONS))
@@ -60,6 +64,18 @@
     }
   }
 
+  /** True if an idle machine may be of use to one of the demands. */
+  private mayServe(machine: MachineEntry, demands: readonly UnmetDemand[]): boolean {
+    const type = this.context.state().machineTypes.get(machine.machineType);
+    const capacity = type && resourcesOf(type);
+    return demands.some((demand) => {
+      const { job } = demand;
+      // Without zone constraints the forecast does not tell which machines the tasks will use once others are free.
+      if (!hasZoneConstraint(job)) return true;
+      return capacity !== undefined && fits(job.taskResources, capacity) && isAllowed(demand, machine);
+    });
+  }
+
   /** Returns how long the machine has been idle. The time starts with the first call for the machine. */
   private idleTime(host: string, now: Micros): Micros {
     const since = this.idleSince.get(host) ?? now;
@@ -78,3 +94,11 @@
     return machine.status === 'new' && !isBooting(machine, this.context) && !mayBeUp ? 'late' : null;
   }
 }
+
+/** True if the constraints of the demand's job allow its missing tasks on machines of the offer. */
+function isAllowed({ job, canUseOtherZones }: UnmetDemand, offer: Offer): boolean {
+  const constrained = canUseOtherZones === true ? { ...job, zone: null } : job;
+  // Free capacity that a gang will use counts as used by it already, so its zones are not limited by that here.
+  const isZoneAllowed = job.isGang || new ZoneConstraint(constrained).allows(offer.zone);
+  return isZoneAllowed && isFeasible(constrained, offer);
+}
--- a/packages/fleet/scale-out-planner.ts
+++ b/packages/fleet/scale-out-planner.ts
@@ -35,6 +35,8 @@
   readonly requests: readonly PlannedScaleOut[];
   /** Pending capacity of the input that no task needs. */
   readonly unusedCapacity: readonly PendingCapacity[];
+  /** Ids of the gangs that must be spread over zones and for which no machines can be requested at present. */
+  readonly blockedGangs: ReadonlySet<string>;
 }
 
 /**
@@ -51,6 +53,7 @@
   return {
     requests: batch.requests,
     unusedCapacity: planners.flatMap((planner) => planner.unusedCapacity()),
+    blockedGangs: new Set(planners.flatMap((planner) => [...planner.blockedGangs])),
   };
 }
 
--- a/packages/fleet/scale-out-requests.ts
+++ b/packages/fleet/scale-out-requests.ts
@@ -41,16 +41,16 @@
 
   /**
    * Plans requests for the unmet demand of all shards, and withdraws those that it no longer justifies. New requests
-   * are sent after they are recorded.
+   * are sent after they are recorded. Returns the ids of the gangs for which no machines can be requested at present.
    */
-  plan(demands: readonly ShardDemand[], termProof: TermProof): void {
+  plan(demands: readonly ShardDemand[], termProof: TermProof): ReadonlySet<string> {
     const { ledger, machineTypes } = this.context.state();
     const hasDemand = demands.some(({ unmetDemand }) => unmetDemand.length > 0);
-    if (!hasDemand && ledger.pendingScaleOuts.size === 0) return;
+    if (!hasDemand && ledger.pendingScaleOuts.size === 0) return new Set();
     const { machinesPerZone, booting } = summarizeMachines(this.context);
     const requested = requestedCapacity(this.context);
     const requestedOffers = new Set([...requested.values()].flat().map(offerKey));
-    const { requests, unusedCapacity } = planScaleOut({
+    const { requests, unusedCapacity, blockedGangs } = planScaleOut({
       types: [...machineTypes.values()],
       shards: demands.map(({ shard, ownedShards, unmetDemand, pendingCapacity, canReach }) => ({
         shard,
@@ -70,6 +70,7 @@
     for (const request of requests) this.addRequest(request, termProof);
     for (const group of unusedCapacity)
       if (group instanceof RequestedCapacity) this.withdrawUnsent(group.requestId);
+    return blockedGangs;
   }
 
   /**
--- a/packages/fleet/shard-scale-out-planner.ts
+++ b/packages/fleet/shard-scale-out-planner.ts
@@ -1,6 +1,14 @@
 /** Plans the machines of one shard: matches its unmet demand with pending capacity and with offers of the cloud. */
-import { type Resources, fits, countFitting, subtractResources, type PendingJob } from '#pricing';
+import {
+  type Resources,
+  fits,
+  countFitting,
+  subtractResources,
+  type PendingJob,
+  ZoneConstraint,
+} from '#pricing';
 import type { MachineType } from '#wire';
+import { type GangZonePlan, planGangZones, type ZoneOffers } from './gang-zone-plan.js';
 import { type Offer, type UnmetDemand, isFeasible, offerKey, resourcesOf } from './offers.js';
 import {
   type PendingCapacity,
@@ -24,8 +32,12 @@
 /** Tasks of one job that pending capacity does not cover. The numbers shrink as machines are planned. */
 export interface OpenDemand {
   readonly planner: ShardScaleOutPlanner;
-  /** The job. For a gang that must run in one zone, `job.zone` is the zone of its machines. */
+  /** The job. If it must run in one zone, `job.zone` is the zone of its machines. */
   readonly job: PendingJob;
+  /** What each zone may still take of the job's tasks, with the planned ones counted. */
+  readonly zones: ZoneConstraint;
+  /** The only zones in which machines are requested; null for all. */
+  readonly requestedZones: ReadonlySet<string> | null;
   /** Number of tasks within the guarantee of the job's team. */
   guaranteed: number;
   /** Number of other tasks. */
@@ -39,8 +51,13 @@
   readonly machinesPerZone: ReadonlyMap<string, number>;
   /** Receives the planned machines. */
   readonly batch: ScaleOutBatch;
+  /** True if the cloud had too few machines of the offer the last time. */
+  readonly isScarce: (offer: Offer) => boolean;
 }
 
+/** What an offer has to suit, and how many tasks may use its machines. */
+type OfferDemand = Pick<OpenDemand, 'job' | 'zones' | 'requestedZones'> & { readonly count: number };
+
 /** Order in which spot and on-demand machines are compared: spot wins if prices are equal. */
 const SPOT_FIRST = [true, false] as const;
 
@@ -53,6 +70,20 @@
   readonly machinesInZone: number;
 }
 
+/** An offer with its price per hour for each task that it would run. */
+interface PricedOffer extends Offer {
+  readonly pricePerTask: number;
+}
+
+/** A zone for all machines of a job, which is limited to that zone. */
+interface ZoneChoice {
+  readonly job: PendingJob;
+  /** Number of the needed tasks that pending capacity takes. */
+  readonly taskCount: number;
+  /** Price per hour of the other tasks; `Infinity` if no machine can be requested for them. */
+  readonly cost: number;
+}
+
 const WORST_SCORE: OfferScore = { pricePerTask: Infinity, machinesInZone: Infinity };
 
 function isBetter(score: OfferScore, best: OfferScore): boolean {
@@ -75,6 +106,7 @@
   private readonly pendingCapacity: PendingCapacity[];
   /** The group of planned machines that was added last. Keyed by offer. */
   private readonly lastPlanned = new Map<string, PendingCapacity>();
+  private readonly blocked = new Set<string>();
 
   constructor(
     private readonly shard: ShardScaleOut,
@@ -87,15 +119,12 @@
 
   /** Allocates the pending capacity to the unmet demand, in its order. Returns the demand that is left. */
   openDemands(): OpenDemand[] {
-    const open: OpenDemand[] = [];
-    for (const unmet of this.shard.unmetDemand) {
-      const { job, count, guaranteedCount = 0 } = this.chooseZone(unmet);
-      const allocated = allocatePending(this.pendingCapacity, job, count);
-      const guaranteed = Math.max(0, Math.min(count, guaranteedCount) - allocated);
-      const others = count - allocated - guaranteed;
-      if (guaranteed + others > 0) open.push({ planner: this, job, guaranteed, others });
-    }
-    return open;
+    return this.shard.unmetDemand.flatMap((unmet) => this.openDemand(unmet) ?? []);
+  }
+
+  /** Ids of the gangs that must be spread over zones and for which no machines can be requested at present. */
+  get blockedGangs(): ReadonlySet<string> {
+    return this.blocked;
   }
 
   /**
@@ -103,16 +132,18 @@
    * which further machines can be planned.
    */
   planMachines(demand: OpenDemand, kind: 'guaranteed' | 'others', maxMachines: number): boolean {
-    const { job } = demand;
+    const { job, zones } = demand;
     // What is left of machines that were planned for other demand is used first.
-    demand[kind] -= allocatePending(this.pendingCapacity, job, demand[kind]);
+    demand[kind] -= allocatePending(this.pendingCapacity, job, { count: demand[kind], zones });
     for (let i = 0; i < maxMachines && demand[kind] > 0; i++) {
-      const offer = this.cheapestOffer(job, demand.guaranteed + demand.others);
+      const offer = this.cheapestOffer({ ...demand, count: demand.guaranteed + demand.others });
       if (!offer || !this.options.batch.addMachine(this.shard.shard, offer)) return false;
       this.machinesPerZone.set(offer.zone, (this.machinesPerZone.get(offer.zone) ?? 0) + 1);
       const free = this.capacityOf(offer);
-      const allocated = Math.min(demand[kind], countFitting(job.taskResources, free));
+      const maxTasks = Math.min(demand[kind], zones.remainingIn(offer.zone));
+      const allocated = Math.min(maxTasks, countFitting(job.taskResources, free));
       subtractResources(free, job.taskResources, allocated);
+      zones.onTasksPlaced(offer.zone, allocated);
       demand[kind] -= allocated;
       this.addPlanned(offer, free);
     }
@@ -127,6 +158,48 @@
     });
   }
 
+  /** Allocates the pending capacity to the demand of one job. Returns the rest; null if there is none. */
+  private openDemand(unmet: UnmetDemand): OpenDemand | null {
+    const demand = this.chooseZone(unmet);
+    const { job, count, guaranteedCount = 0 } = demand;
+    const zones = new ZoneConstraint(job);
+    const zonePlan = this.planZones(demand, zones);
+    if (zonePlan.kind === 'none') {
+      this.blocked.add(job.id);
+      return null;
+    }
+    const requestedZones = zonePlan.kind === 'scarce' ? zonePlan.zones : null;
+    const allocated = allocatePending(this.pendingCapacity, job, { count, zones });
+    const guaranteed = Math.max(0, Math.min(count, guaranteedCount) - allocated);
+    const others = count - allocated - guaranteed;
+    if (guaranteed + others === 0) return null;
+    return { planner: this, job, zones, requestedZones, guaranteed, others };
+  }
+
+  /** Decides in which zones machines may be requested for the demand: in all of them unless it is a gang to be spread. */
+  private planZones(demand: UnmetDemand, constraint: ZoneConstraint): GangZonePlan {
+    const { job } = demand;
+    if (!job.isGang || !job.spreadZones) return { kind: 'all' };
+    return planGangZones({
+      demand,
+      constraint,
+      offers: this.offersByZone(job),
+      pendingCapacity: this.pendingCapacity.filter((group) => isFeasible(job, group)),
+      isScarce: this.options.isScarce,
+    });
+  }
+
+  /** Returns what the offers of each zone have for the job. */
+  private offersByZone(job: PendingJob): Map<string, ZoneOffers> {
+    const byZone = new Map<string, ZoneOffers>();
+    for (const { offer } of this.feasibleOffers(job)) {
+      const isAvailable = !this.options.isScarce(offer);
+      const hasAvailable = isAvailable || byZone.get(offer.zone)?.hasAvailable === true;
+      byZone.set(offer.zone, { hasAny: true, hasAvailable });
+    }
+    return byZone;
+  }
+
   private capacityOf({ machineType }: Offer): Resources {
     return resourcesOf(this.options.types.find((type) => type.name === machineType)!);
   }
@@ -145,44 +218,71 @@
   }
 
   /**
-   * Chooses one zone for all machines that are requested for a gang which must run in one zone. It is the zone that the
-   * last round preferred for the gang or, if no offer is available there, the zone with the most pending capacity.
+   * Chooses one zone for all machines that are requested for a job which must run in one zone and has no task on a machine.
+   * It is the zone that the last round preferred for a gang or, if no offer is available there, the zone in which the tasks
+   * that pending capacity does not take cost least.
    */
   private chooseZone(demand: UnmetDemand): UnmetDemand {
     const { job, count, canUseOtherZones } = demand;
-    if (!job.isGang || !job.singleZone || (job.zone !== null && canUseOtherZones !== true)) return demand;
+    const isChosen = job.zone !== null && canUseOtherZones !== true;
+    if (!job.singleZone || isChosen || job.placedByZone.size > 0) return demand;
     const isServed = job.zone !== null && countFittingPending(this.pendingCapacity, job) >= count;
-    if (job.zone !== null && (isServed || this.cheapestOffer(job, count))) return demand;
-    const zones = new Set(this.options.types.flatMap((type) => type.zones));
-    const choices = [...zones]
-      .map((zone) => ({ ...job, zone }))
-      .filter((choice) => this.cheapestOffer(choice, choice.pendingTaskCount) !== null)
-      .map((choice) => ({ choice, taskCount: countFittingPending(this.pendingCapacity, choice) }))
-      .sort((a, b) => b.taskCount - a.taskCount);
-    const best = choices[0]?.choice;
-    return best ? { ...demand, job: best, count: best.pendingTaskCount } : demand;
+    if (job.zone !== null && (isServed || this.cheapestOfferFor(job, count))) return demand;
+    // The missing tasks of a gang are those that lack capacity in the preferred zone; another zone would take all of them.
+    const neededCount = job.isGang ? job.pendingTaskCount : count;
+    const choices = this.allZones().map((zone) => this.zoneChoice({ ...job, zone }, neededCount));
+    const [best] = choices
+      .filter(({ cost }) => cost < Infinity)
+      .sort((a, b) => a.cost - b.cost || b.taskCount - a.taskCount);
+    return best ? { ...demand, job: best.job, count: neededCount } : demand;
+  }
+
+  /** Returns the zones in which machine types are offered or machines are pending. */
+  private allZones(): string[] {
+    const offered = this.options.types.flatMap((type) => type.zones);
+    return [...new Set([...offered, ...this.pendingCapacity.map(({ zone }) => zone)])];
+  }
+
+  /** Returns how many of the tasks pending capacity takes in the job's zone, and what the others cost there. */
+  private zoneChoice(job: PendingJob, neededCount: number): ZoneChoice {
+    const taskCount = Math.min(neededCount, countFittingPending(this.pendingCapacity, job));
+    if (taskCount === neededCount) return { job, taskCount, cost: 0 };
+    const pricePerTask = this.cheapestOfferFor(job, neededCount)?.pricePerTask ?? Infinity;
+    return { job, taskCount, cost: (neededCount - taskCount) * pricePerTask };
+  }
+
+  private cheapestOfferFor(job: PendingJob, count: number): PricedOffer | null {
+    return this.cheapestOffer({ job, count, zones: new ZoneConstraint(job), requestedZones: null });
   }
 
   /** Returns the feasible offer with the lowest price per task, counting only tasks that it would run; null if none. */
-  private cheapestOffer(job: PendingJob, count: number): Offer | null {
-    let best: Offer | null = null;
+  private cheapestOffer({ job, count, zones, requestedZones }: OfferDemand): PricedOffer | null {
+    let best: PricedOffer | null = null;
     let bestScore = WORST_SCORE;
+    for (const { offer, type } of this.feasibleOffers(job)) {
+      const { zone, spot } = offer;
+      const maxTasks = Math.min(count, zones.remainingIn(zone));
+      if (maxTasks === 0 || requestedZones?.has(zone) === false) continue;
+      const taskCount = Math.min(maxTasks, countFitting(job.taskResources, resourcesOf(type)));
+      const pricePerTask = (spot ? type.spotPrice : type.price) / taskCount;
+      const score = { pricePerTask, machinesInZone: this.machinesPerZone.get(zone) ?? 0 };
+      if (!isBetter(score, bestScore)) continue;
+      best = { ...offer, pricePerTask };
+      bestScore = score;
+    }
+    return best;
+  }
+
+  /** Yields the offers that may be requested now and whose machines could run a task of the job. */
+  private *feasibleOffers(job: PendingJob): Generator<{ offer: Offer; type: MachineType }> {
     for (const type of this.options.types) {
-      const capacity = resourcesOf(type);
-      if (!fits(job.taskResources, capacity)) continue;
-      const taskCount = Math.min(count, countFitting(job.taskResources, capacity));
+      if (!fits(job.taskResources, resourcesOf(type))) continue;
       for (const zone of type.zones) {
         for (const spot of SPOT_FIRST) {
           const offer = { machineType: type.name, zone, spot };
-          if (!isFeasible(job, offer) || this.shard.isBackedOff(offer)) continue;
-          const pricePerTask = (spot ? type.spotPrice : type.price) / taskCount;
-          const score = { pricePerTask, machinesInZone: this.machinesPerZone.get(zone) ?? 0 };
-          if (!isBetter(score, bestScore)) continue;
-          best = offer;
-          bestScore = score;
+          if (isFeasible(job, offer) && !this.shard.isBackedOff(offer)) yield { offer, type };
         }
       }
     }
-    return best;
   }
 }
--- a/packages/fleet/transfer-planner.ts
+++ b/packages/fleet/transfer-planner.ts
@@ -2,9 +2,18 @@
  * Plans which machines the leader transfers between shard owners, in three passes: first machines with unused capacity,
  * then machines of the owner with the lowest price, then machines for unmet guarantees. Pure: no clock, no I/O.
  */
-import { type PendingJob, type Resources, fits, countFitting, subtractResources } from '#pricing';
+import {
+  type PendingJob,
+  type Resources,
+  fits,
+  countFitting,
+  hasZoneConstraint,
+  subtractResources,
+  ZoneConstraint,
+} from '#pricing';
 import type { Micros } from '#wire';
 import { type UnmetDemand, type Offer, isFeasible } from './offers.js';
+import type { CapacityDemand } from './pending-capacity.js';
 
 /** A machine that may be transferred, with its owner and the capacity that the owner's next round will leave free. */
 export interface TransferCandidate extends Offer {
@@ -102,8 +111,8 @@
     // Capacity that is left on a machine transferred for one demand is used for the next demands.
     const incoming: TransferCandidate[] = [];
     for (const demand of unmetDemand) {
-      const count = this.serveFromUnused(owner, demand, incoming);
-      if (count > 0) unserved.push({ ...demand, count });
+      const rest = this.serveFromUnused(owner, demand, incoming);
+      if (rest.count > 0) unserved.push(rest);
     }
     this.unmetDemand.set(owner, unserved);
   }
@@ -138,29 +147,53 @@
     }
   }
 
-  /** Transfers machines with unused capacity for the demand. Returns the number of tasks that are still not covered. */
-  private serveFromUnused(owner: string, { job, count }: UnmetDemand, incoming: TransferCandidate[]): number {
-    let remaining = count;
-    for (const machine of incoming) remaining -= this.allocate(machine, job, remaining);
-    if (remaining === 0) return 0;
-    const candidates = this.machinesWithCapacity
-      .filter((machine) => this.isTransferable(machine, owner) && this.hasCapacityFor(job, machine))
-      .sort((a, b) => this.compareUnused(a, b));
-    for (const machine of candidates) {
+  /** Transfers machines with unused capacity for the demand. Returns the demand that is still not covered. */
+  private serveFromUnused(owner: string, demand: UnmetDemand, incoming: TransferCandidate[]): UnmetDemand {
+    const { job } = demand;
+    const zones = this.zoneConstraintOf(job, owner, incoming);
+    let remaining = demand.count;
+    for (const machine of incoming) remaining -= this.allocate(machine, job, { count: remaining, zones });
+    if (remaining === 0) return { ...demand, count: 0 };
+    for (const machine of this.candidatesFor(job, owner)) {
       if (remaining === 0) break;
+      if (!zones.allows(machine.zone)) continue;
       this.transfer(machine, owner);
       incoming.push(machine);
-      remaining -= this.allocate(machine, job, remaining);
+      remaining -= this.allocate(machine, job, { count: remaining, zones });
     }
-    return remaining;
+    if (!hasZoneConstraint(job)) return { ...demand, count: remaining };
+    return { ...demand, job: { ...job, placedByZone: zones.tasksByZone }, count: remaining };
+  }
+
+  /** Returns the transferable machines with unused capacity for a task of the job, most unused ones first. */
+  private candidatesFor(job: PendingJob, owner: string): TransferCandidate[] {
+    return this.machinesWithCapacity
+      .filter((machine) => this.isTransferable(machine, owner) && this.hasCapacityFor(job, machine))
+      .sort((a, b) => this.compareUnused(a, b));
+  }
+
+  /** Returns the zone constraint of the job. A single-zone job starts where most of its tasks have unused capacity. */
+  private zoneConstraintOf(
+    job: PendingJob,
+    owner: string,
+    incoming: readonly TransferCandidate[],
+  ): ZoneConstraint {
+    if (!job.singleZone) return new ZoneConstraint(job);
+    const machines = [...incoming, ...this.candidatesFor(job, owner)];
+    return ZoneConstraint.onMachines(
+      job,
+      machines.map((machine) => ({ ...machine, free: this.free.get(machine.host) ?? machine.free })),
+    );
   }
 
-  /** Allocates capacity of the machine to up to `count` tasks. Returns the number of tasks that got capacity. */
-  private allocate(machine: TransferCandidate, job: PendingJob, count: number): number {
+  /** Allocates capacity of the machine to tasks of the job. Returns the number of tasks that got capacity. */
+  private allocate(machine: TransferCandidate, job: PendingJob, { count, zones }: CapacityDemand): number {
     const free = this.free.get(machine.host);
-    if (!free || count === 0 || !isFeasible(job, machine)) return 0;
-    const allocated = Math.min(count, countFitting(job.taskResources, free));
+    const maxTasks = Math.min(count, zones.remainingIn(machine.zone));
+    if (!free || maxTasks === 0 || !isFeasible(job, machine)) return 0;
+    const allocated = Math.min(maxTasks, countFitting(job.taskResources, free));
     subtractResources(free, job.taskResources, allocated);
+    zones.onTasksPlaced(machine.zone, allocated);
     return allocated;
   }
 
@@ -184,11 +217,13 @@
 
   /** Returns the donor's transferable machines that could hold a task of the demand if they were empty. */
   private feasibleMachinesOf(donor: OwnerDemand, owner: string, { job }: UnmetDemand): TransferCandidate[] {
+    const zones = new ZoneConstraint(job);
     return this.input.machines.filter(
       (machine) =>
         machine.owner === donor.owner &&
         this.isTransferable(machine, owner) &&
         isFeasible(job, machine) &&
+        zones.allows(machine.zone) &&
         fits(job.taskResources, machine.total),
     );
   }
--- a/packages/pricing/gang-placement.test.ts
+++ b/packages/pricing/gang-placement.test.ts
@@ -7,6 +7,7 @@
 import { planPreemptions, type Victim } from './preemption.js';
 import { runPricingRound } from './pricing-round.js';
 import type { CandidateMachine, PricingRoundInput, PricingRoundResult, PendingJob } from './types.js';
+import { ZoneConstraint } from './zone-constraint.js';
 
 function gang(id: string, size: number, change: Partial<PendingJob> = {}): PendingJob {
   const taskResources = { cpus: 2, gpus: 0, memGb: 4 };
@@ -192,11 +193,13 @@
     gpus: 0,
     memGb: 4,
   });
+  const request = { job: gang('j-1', 4), rank: 2, isWithinGuarantee: false };
   const preemptionsFor = (count: number): number =>
     planPreemptions({
-      requests: [{ job: gang('j-1', 4), count, rank: 2, isWithinGuarantee: false }],
+      requests: [{ ...request, zones: new ZoneConstraint(request.job), count }],
       machines: ['a', 'b'].map((host) => ({
         host,
+        zone: 'east',
         freeResources: { cpus: 0, gpus: 0, memGb: 8 },
         isAllowed: () => true,
       })),
--- a/packages/pricing/preemption.test.ts
+++ b/packages/pricing/preemption.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { samplePendingJob } from '#testkit';
 import { planPreemptions, type Victim } from './preemption.js';
+import { ZoneConstraint } from './zone-constraint.js';
 
 const NEED = { cpus: 4, gpus: 0, memGb: 8 };
 const JOB = samplePendingJob({ taskResources: NEED, priority: 4, pendingTaskCount: 1, taskCount: 1 });
@@ -22,8 +23,14 @@
 
 function preempted(victims: Victim[], change: { rank?: number; isWithinGuarantee?: boolean } = {}): string[] {
   const freeResources = { cpus: 0, gpus: 0, memGb: 8 };
-  const machines = ['n-1', 'n-2'].map((host) => ({ host, freeResources, isAllowed: () => true }));
-  const requests = [{ job: JOB, count: 1, rank: 2, isWithinGuarantee: false, ...change }];
+  const machines = ['n-1', 'n-2'].map((host) => ({
+    host,
+    zone: 'east',
+    freeResources,
+    isAllowed: () => true,
+  }));
+  const zones = new ZoneConstraint(JOB);
+  const requests = [{ job: JOB, zones, count: 1, rank: 2, isWithinGuarantee: false, ...change }];
   return planPreemptions({ requests, machines, victims, maxPreemptions: 5 }).map(({ taskName }) => taskName);
 }
 
@@ -52,11 +59,13 @@
   let looks = 0;
   const machines = [...Array(200).keys()].map((i) => ({
     host: `n-${i}`,
+    zone: 'east',
     freeResources: { cpus: 4, gpus: 0, memGb: 8 },
     isAllowed: () => ++looks > 0,
   }));
   const victims = machines.map(({ host }) => victim(`a/${host}`, { host }));
-  const requests = [{ job: JOB, count: 100_000, rank: 2, isWithinGuarantee: false }];
+  const zones = new ZoneConstraint(JOB);
+  const requests = [{ job: JOB, zones, count: 100_000, rank: 2, isWithinGuarantee: false }];
   assert.deepEqual(planPreemptions({ requests, machines, victims, maxPreemptions: 6 }), []);
   assert.equal(looks, machines.length);
 });
--- a/packages/pricing/preemption.ts
+++ b/packages/pricing/preemption.ts
@@ -1,6 +1,7 @@
 /** Preemption: selects the running tasks to stop so that more urgent tasks get capacity. */
 import { fits, subtractResources } from './resources.js';
 import type { Resources, PendingJob } from './types.js';
+import type { ZoneConstraint } from './zone-constraint.js';
 
 /** A running task that may be preempted, with the resources that its preemption frees. */
 export interface Victim extends Resources {
@@ -17,6 +18,8 @@
 /** Tasks of one job that found no capacity and may preempt other tasks. */
 export interface PreemptionRequest {
   job: PendingJob;
+  /** What each zone may still take of the job's tasks. The tasks that machines are freed for are counted in it. */
+  zones: ZoneConstraint;
   /** Number of tasks. A separate machine is freed for each of them. */
   count: number;
   /** Index of the job's rank. Only victims of lower rank are preempted, unless `isWithinGuarantee` applies. */
@@ -28,6 +31,7 @@
 /** A machine on which tasks may be preempted. */
 export interface PreemptibleMachine {
   readonly host: string;
+  readonly zone: string;
   /** Free capacity of the machine once all tasks that are already being stopped have ended. */
   readonly freeResources: Resources;
   /** True if the job's constraints allow the machine. */
@@ -80,6 +84,7 @@
 /** A machine chosen for one task of a request, and the tasks to preempt on it. */
 interface MachineChoice {
   readonly host: string;
+  readonly zone: string;
   readonly victims: readonly Victim[];
 }
 
@@ -99,22 +104,25 @@
     for (const choice of this.choicesFor(request)) {
       if (chosen.length >= request.count) break;
       if (this.preempted.length + choice.victims.length > this.maxPreemptions) break;
-      this.addChoice(choice);
+      if (!request.zones.allows(choice.zone)) continue;
+      this.addChoice(choice, request.zones);
       chosen.push(choice);
     }
     // A gang cannot start with capacity for only a part of its tasks.
-    if (request.job.isGang && chosen.length < request.count) this.revert(chosen);
+    if (request.job.isGang && chosen.length < request.count) this.revert(chosen, request.zones);
   }
 
-  private addChoice({ host, victims }: MachineChoice): void {
+  private addChoice({ host, zone, victims }: MachineChoice, zones: ZoneConstraint): void {
     this.usedHosts.add(host);
+    zones.onTasksPlaced(zone, 1);
     this.preempted.push(...victims);
   }
 
   /** Reverts the choices, which must be the ones added last. */
-  private revert(choices: readonly MachineChoice[]): void {
-    for (const { host, victims } of choices) {
+  private revert(choices: readonly MachineChoice[], zones: ZoneConstraint): void {
+    for (const { host, zone, victims } of choices) {
       this.usedHosts.delete(host);
+      zones.onTasksPlaced(zone, -1);
       this.preempted.length -= victims.length;
     }
   }
@@ -128,7 +136,7 @@
     for (const candidate of this.candidates) {
       if (this.usedHosts.has(candidate.host) || !candidate.isAllowed(request.job)) continue;
       const victims = victimsOn(candidate, request);
-      if (victims) choices.push({ host: candidate.host, victims });
+      if (victims) choices.push({ host: candidate.host, zone: candidate.zone, victims });
     }
     return choices.sort((a, b) => a.victims.length - b.victims.length);
   }
--- a/packages/pricing/task-slots.test.ts
+++ b/packages/pricing/task-slots.test.ts
@@ -7,6 +7,7 @@
 import { planPreemptions } from './preemption.js';
 import { runPricingRound } from './pricing-round.js';
 import type { CandidateMachine, PendingJob, PricingRoundResult, Resources } from './types.js';
+import { ZoneConstraint } from './zone-constraint.js';
 
 const TINY = { cpus: 0.01, gpus: 0, memGb: 0.01 };
 
@@ -54,9 +55,10 @@
 test('a small task is preempted where only the number of tasks keeps another one from starting', () => {
   const victim = { taskName: 'a/0', host: 'n-1', rank: 0, isAboveGuarantee: false, canCheckpoint: true };
   const freeResources = { cpus: 4, gpus: 0, memGb: 16, taskSlots: 0 };
+  const job = samplePendingJob();
   const preempted = planPreemptions({
-    requests: [{ job: samplePendingJob(), count: 1, rank: 2, isWithinGuarantee: false }],
-    machines: [{ host: 'n-1', freeResources, isAllowed: () => true }],
+    requests: [{ job, zones: new ZoneConstraint(job), count: 1, rank: 2, isWithinGuarantee: false }],
+    machines: [{ host: 'n-1', zone: 'east', freeResources, isAllowed: () => true }],
     victims: [{ ...victim, ...TINY }],
     maxPreemptions: 5,
   });
--- a/packages/pricing/zone-placement.test.ts
+++ b/packages/pricing/zone-placement.test.ts
@@ -1,11 +1,13 @@
-/** Placement of jobs with zone constraints. */
+/** Placement and preemption for jobs with zone constraints. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { SAMPLE_PRICING_OPTIONS, sampleCandidateMachine, samplePendingJob } from '#testkit';
+import { planPreemptions } from './preemption.js';
 import { runPricingRound } from './pricing-round.js';
 import type { CandidateMachine, PendingJob, PricingRoundResult } from './types.js';
+import { ZoneConstraint } from './zone-constraint.js';
 
 const ZONES = ['east', 'west', 'north'];
 const TASK = { cpus: 2, gpus: 0, memGb: 2 };
@@ -107,3 +109,23 @@
     ]),
   );
 });
+
+// Guards against preemptions that free machines which the job can't use.
+test('tasks are preempted for a spread job up to what each zone may take, and for a job in one zone in one', () => {
+  const hosts = ['east', 'east', 'east', 'west', 'west', 'west'].map((zone, i) => ({ host: `n-${i}`, zone }));
+  const freeResources = { cpus: 0, gpus: 0, memGb: 16 };
+  const preemptedZones = (change: Partial<PendingJob>): string[] => {
+    const job = samplePendingJob({ taskCount: 4, pendingTaskCount: 4, taskResources: TASK, ...change });
+    const victims = hosts.map(({ host }) => ({ ...TASK, taskName: host, host, rank: 0 }));
+    const preempted = planPreemptions({
+      requests: [{ job, zones: new ZoneConstraint(job), count: 4, rank: 2, isWithinGuarantee: false }],
+      machines: hosts.map((machine) => ({ ...machine, freeResources, isAllowed: () => true })),
+      victims: victims.map((victim) => ({ ...victim, isAboveGuarantee: false, canCheckpoint: true })),
+      maxPreemptions: 6,
+    });
+    return preempted.map(({ host }) => hosts.find((machine) => machine.host === host)!.zone);
+  };
+  assert.deepEqual(preemptedZones({ spreadZones: true }), ['east', 'east', 'west', 'west']);
+  assert.deepEqual(preemptedZones({ singleZone: true }), ['east', 'east', 'east']);
+  assert.deepEqual(preemptedZones({ singleZone: true, isGang: true }), []);
+});
--- a/packages/scheduling/preemption-planner.ts
+++ b/packages/scheduling/preemption-planner.ts
@@ -12,6 +12,7 @@
   type Resources,
   subtractResources,
   type Victim,
+  ZoneConstraint,
 } from '#pricing';
 import type { Settings } from '#settings';
 import { type Clock, type JobSpec, type Micros, MS, RANKS, SECOND } from '#wire';
@@ -97,9 +98,10 @@
       if (!entry || wallTime - entry.acceptedAtMs * MS < PREEMPTION_MIN_WAIT) continue;
       // Tasks preempted in earlier rounds may still be writing checkpoints. The capacity that they free counts for this
       // demand, so that no further tasks are preempted for it.
-      const remaining = count - allocatePending(capacityBeingFreed, job, count);
+      const zones = new ZoneConstraint(job);
+      const remaining = count - allocatePending(capacityBeingFreed, job, { count, zones });
       const unusedGuarantee = (guarantees.get(team) ?? 0) - (ledger.teamUsage(team).cpus + usageChange);
-      addRequests(requests, { job, count: remaining, spec: entry.spec, unusedGuarantee });
+      addRequests(requests, { job, zones, count: remaining, spec: entry.spec, unusedGuarantee });
     }
     return requests;
   }
@@ -154,6 +156,8 @@
 /** Unmet demand of one job that has waited long enough to preempt other tasks. */
 interface EligibleDemand {
   readonly job: PendingJob;
+  /** What each zone may still take of the job's tasks. */
+  readonly zones: ZoneConstraint;
   readonly count: number;
   readonly spec: JobSpec;
   /** CPUs that the team may still use within its guarantee; negative if its usage exceeds the guarantee. */
@@ -162,14 +166,15 @@
 
 /** Adds a request for the tasks within the guarantee, and one for the other tasks if the job's rank is above normal. */
 function addRequests(requests: PreemptionRequest[], demand: EligibleDemand): void {
-  const { job, count, spec, unusedGuarantee } = demand;
+  const { job, zones, count, spec, unusedGuarantee } = demand;
   const cpusOnly = { ...job.taskResources, gpus: 0, memGb: 0 };
   const fittingCount = countFitting(cpusOnly, { cpus: unusedGuarantee, gpus: 0, memGb: 0 });
   const guaranteedCount = Math.min(count, fittingCount);
   const rank = RANKS.indexOf(spec.rank);
-  if (guaranteedCount > 0) requests.push({ job, count: guaranteedCount, rank, isWithinGuarantee: true });
+  if (guaranteedCount > 0)
+    requests.push({ job, zones, count: guaranteedCount, rank, isWithinGuarantee: true });
   if (count > guaranteedCount && rank > NORMAL_RANK) {
-    requests.push({ job, count: count - guaranteedCount, rank, isWithinGuarantee: false });
+    requests.push({ job, zones, count: count - guaranteedCount, rank, isWithinGuarantee: false });
   }
 }
 
@@ -198,6 +203,7 @@
 ): PreemptibleMachine {
   return {
     host: machine.host,
+    zone: machine.zone,
     freeResources: free.get(machine.host) ?? machine.free,
     isAllowed: (job) => isFeasible(job, machine) && fits(job.taskResources, machine.total),
   };
--- a/packages/testkit/sim-cloud.ts
+++ b/packages/testkit/sim-cloud.ts
@@ -81,6 +81,11 @@
     this.takeSnapshot();
   }
 
+  /** Number of machines rented so far, including those that are gone. */
+  get rentedCount(): number {
+    return this.createdCount;
+  }
+
   readonly handler: Handler = (_from, method, path, body) => {
     if (this.isUnavailable) return { status: 503, body: { error: 'trouble' } };
     const url = new URL(path, 'http://cloud');
