Submissions: no job is refused for want of a machine type that is not known yet

Seen by callers: with more machine types than one transaction takes, a job for a type of a later transaction gets 422, which its user does not repeat. A node whose replica lags could refuse a job in the same way.

Cause: machine types counted as known once there was one row; and the types were judged before the replica had caught up with what other nodes know.

Change: rows of a list that takes several transactions tell how many rows there are (`Count`, which older versions ignore); until all are there, and until the replica has caught up, the answer is 503. A list that fits one transaction is stored as before, so the golden rows are unchanged.

--- a/packages/cluster/change-applier.ts
+++ b/packages/cluster/change-applier.ts
@@ -25,7 +25,7 @@
   UNREADABLE_FENCING_TOKEN,
 } from './stored/holder-codec.js';
 import { decodeJobRow, decodeTerminalStatus, isTerminal } from './stored/job-codec.js';
-import { decodeMachineTypeRow } from './stored/machine-type-codec.js';
+import { decodeMachineTypeRow, decodeMachineTypeRowCount } from './stored/machine-type-codec.js';
 import { decodeCapabilities, decodeMember } from './stored/member-codec.js';
 import { decodeRecord, decodeSequence } from './stored/record-codec.js';
 import type { TerminalStatusCache } from './terminal-status-cache.js';
@@ -130,8 +130,14 @@
 
   private applyMachineType({ path, value }: Change): void {
     const name = path.slice(MACHINE_TYPE_PREFIX.length);
-    if (value) this.state.machineTypes.set(name, decodeMachineTypeRow(value));
-    else this.state.machineTypes.delete(name);
+    const { machineTypes, machineTypeRowCounts } = this.state;
+    if (value) {
+      machineTypes.set(name, decodeMachineTypeRow(value));
+      machineTypeRowCounts.set(name, decodeMachineTypeRowCount(value));
+    } else {
+      machineTypes.delete(name);
+      machineTypeRowCounts.delete(name);
+    }
   }
 
   private applyCheckpointHead({ value, revision }: Change): void {
--- a/packages/cluster/cluster-state.ts
+++ b/packages/cluster/cluster-state.ts
@@ -49,6 +49,8 @@
   readonly terminalJobs = new Map<string, TerminalJob>();
   /** Keyed by name. */
   readonly machineTypes = new Map<string, MachineType>();
+  /** Number of machine types that there are to be at least, according to each row. Keyed by name. */
+  readonly machineTypeRowCounts = new Map<string, number>();
   leader: LeaseHolder | null = null;
   /** Keyed by member. Members whose lease has not expired. */
   readonly members = new Map<string, Member>();
@@ -64,12 +66,19 @@
   /** Revision up to which every commit is applied. */
   appliedRevision = 0;
 
+  /** True if the machine types of the cloud are known, and none of a list that takes several commits is missing. */
+  get areMachineTypesKnown(): boolean {
+    const size = this.machineTypes.size;
+    return size > 0 && [...this.machineTypeRowCounts.values()].every((count) => count <= size);
+  }
+
   /** Empties all tables before the rows of a complete read are applied, and replaces the ledger by the given one. */
   reset(ledger: Ledger): void {
     this.ledger = ledger;
     this.jobs.clear();
     this.terminalJobs.clear();
     this.machineTypes.clear();
+    this.machineTypeRowCounts.clear();
     this.logSlots.clear();
     this.checkpointChunkKeys.clear();
     this.leader = null;
--- a/packages/cluster/stored/machine-type-codec.ts
+++ b/packages/cluster/stored/machine-type-codec.ts
@@ -47,9 +47,18 @@
   };
 }
 
-/** Encodes the row of a machine type. */
-export function encodeMachineTypeRow(type: MachineType): WireFields {
-  return { Type: encodeMachineType(type) };
+/**
+ * Encodes the row of a machine type. `rowCount`: number of rows of which this is one, if they take several transactions;
+ * null otherwise. Older versions ignore it.
+ */
+export function encodeMachineTypeRow(type: MachineType, rowCount: number | null = null): WireFields {
+  const row = { Type: encodeMachineType(type) };
+  return rowCount === null ? row : { ...row, Count: rowCount };
+}
+
+/** Reads the number of rows that there are to be at least; 1 if the row does not tell. */
+export function decodeMachineTypeRowCount(value: WireFields): number {
+  return typeof value['Count'] === 'number' ? value['Count'] : 1;
 }
 
 /** Reads the row of a machine type. If the row has none, all fields are undefined. */
--- a/packages/daemon/job-service.ts
+++ b/packages/daemon/job-service.ts
@@ -36,6 +36,7 @@
 /** Bytes reserved in a stored job row for everything but the job's specification. */
 const JOB_ROW_OVERHEAD_BYTES = 100;
 
+const TYPES_CHANGED = unavailable('machine types have changed');
 const NO_SUCH_JOB: ServiceResponse = { status: 404, body: { error: 'no such job' } };
 
 /** Dependencies of {@link JobService}. */
@@ -126,13 +127,10 @@
 
   /** Returns the response to a job that can't be accepted now; null if it can. */
   private findRejection(job: JobSpec): ServiceResponse | Promise<ServiceResponse> | null {
-    const { replica, settings } = this.options;
+    const { replica } = this.options;
     // A job that was accepted earlier is known whatever the machine types are now.
-    if (replica.machineTypes.size === 0)
-      return this.jobStateResponse(job.id, unavailable('machine types not known yet'));
-    const machineTypes = replica.machineTypes.values();
-    const reason = infeasibleReason(job, { teams: settings.teams, machineTypes });
-    if (reason !== null) return this.jobStateResponse(job.id, { status: 422, body: { error: reason } });
+    if (this.infeasibleResponse(job) !== null)
+      return this.jobStateResponse(job.id, () => this.infeasibleResponse(job) ?? TYPES_CHANGED);
     if (job.shape === 'gang' && !replica.allSupport(this.allNodes, 'gangs')) {
       // A node of an older version would run the tasks of the gang one by one.
       return this.jobStateResponse(job.id, unavailable('gangs are not served by all nodes yet'));
@@ -140,8 +138,27 @@
     return null;
   }
 
-  /** Returns the response with the job's current state, or `fallback` if no such job exists. */
-  private async jobStateResponse(id: string, fallback: ServiceResponse): Promise<ServiceResponse> {
+  /**
+   * Returns the response to a job that can never run on the machine types that this node knows, or 503 if it does not know
+   * all of them; null if the job can run.
+   */
+  private infeasibleResponse(job: JobSpec): ServiceResponse | null {
+    const { replica, settings } = this.options;
+    const machineTypes = replica.machineTypes.values();
+    const reason = infeasibleReason(job, { teams: settings.teams, machineTypes });
+    if (reason === null) return null;
+    if (!replica.areMachineTypesKnown) return unavailable('machine types not known yet');
+    return { status: 422, body: { error: reason } };
+  }
+
+  /**
+   * Returns the response with the job's current state, or `fallback` if no such job exists. A function is called once the
+   * replica is up to date.
+   */
+  private async jobStateResponse(
+    id: string,
+    fallback: ServiceResponse | (() => ServiceResponse),
+  ): Promise<ServiceResponse> {
     const { replica } = this.options;
     const cachedStatus = replica.cachedTerminalStatus(id);
     if (cachedStatus) return terminalResponse(id, cachedStatus);
@@ -149,7 +166,8 @@
     if (replica.jobs.has(id)) return { status: 200, body: encodeJobState(this.liveState(id)) };
     try {
       const status = await replica.terminalStatus(id);
-      return status ? terminalResponse(id, status) : fallback;
+      if (status) return terminalResponse(id, status);
+      return typeof fallback === 'function' ? fallback() : fallback;
     } catch {
       return STORE_UNREACHABLE;
     }
--- a/packages/daemon/machine-type-refresher.ts
+++ b/packages/daemon/machine-type-refresher.ts
@@ -44,14 +44,19 @@
     await this.write(changed, termProof);
   }
 
-  /** Writes the machine types, in as many transactions as the write limits require. */
+  /**
+   * Writes the machine types, in as many transactions as the write limits require. If it takes several, the rows tell how
+   * many there are, so that no job is refused for want of a type that is not written yet.
+   */
   private async write(types: readonly MachineType[], termProof: TermProof): Promise<void> {
-    const { store, writeLimits } = this.options;
+    const { store, replica, writeLimits } = this.options;
     const typesPerTransaction = writeLimits.txnOps;
+    const allNames = new Set([...replica.machineTypes.keys(), ...types.map(({ name }) => name)]);
+    const rowCount = types.length > typesPerTransaction ? allNames.size : null;
     for (let start = 0; start < types.length; start += typesPerTransaction) {
       const writes: Write[] = types.slice(start, start + typesPerTransaction).map((type) => ({
         set: MACHINE_TYPE_PREFIX + type.name,
-        value: encodeMachineTypeRow(type),
+        value: encodeMachineTypeRow(type, rowCount),
       }));
       const result = await store.compareAndSwap({
         proofs: [termProof],
