Machine types: a type that the cloud no longer lists is offered nowhere

Seen by callers: a job bound to a type that the cloud has stopped listing is accepted, never starts, and is asked for at the cloud again and again.

Cause: rows of machine types were only ever added or updated.

Change: the leader writes a type that is missing from the list without zones. Its machines go on, jobs accepted before stay accepted, new ones for it get 422. An empty list counts as no answer.

Evidence: machine-types.test.ts: 201 on, 422 here; the type is listed again: 201.

--- a/packages/daemon/machine-type-refresher.ts
+++ b/packages/daemon/machine-type-refresher.ts
@@ -37,11 +37,19 @@
     if (!isDue) return;
     this.lastReadAt = clock.now();
     const types = await cloud.listMachineTypes();
-    if (!types) this.lastReadAt = clock.now() - REFRESH_INTERVAL + RETRY_DELAY;
+    if (!types?.length) this.lastReadAt = clock.now() - REFRESH_INTERVAL + RETRY_DELAY;
     // If the term ended meanwhile, a later leader may have stored newer machine types than these.
-    if (!types || !termProof.isCurrent()) return;
+    if (!types?.length || !termProof.isCurrent()) return;
     const changed = types.filter((type) => isChanged(type, replica.machineTypes.get(type.name)));
-    await this.write(changed, termProof);
+    await this.write([...changed, ...this.unlistedTypes(types)], termProof);
+  }
+
+  /** Returns the stored types that the cloud no longer lists, without zones: machines of them remain, but none is offered. */
+  private unlistedTypes(listed: readonly MachineType[]): MachineType[] {
+    const names = new Set(listed.map(({ name }) => name));
+    return [...this.options.replica.machineTypes.values()]
+      .filter(({ name, zones }) => !names.has(name) && zones.length > 0)
+      .map((type) => ({ ...type, zones: [] }));
   }
 
   /**
--- a/packages/testkit/machine-types.test.ts
+++ b/packages/testkit/machine-types.test.ts
@@ -43,3 +43,30 @@
   assert.equal(await submit(cluster, last), 201);
   assert.equal(await submit(cluster, sampleJob('j-3', { machineTypes: ['t7'] })), 422);
 });
+
+// Guards against jobs that are accepted for a machine type that can't be rented any more.
+test('a job for a machine type that the cloud no longer lists is refused, unless it was accepted before', async () => {
+  const types = typesNamed('t1', 't2');
+  const cluster = new SimCluster({ seed: 492, types });
+  await cluster.run(6 * SECOND);
+  const accepted = sampleJob('j-1', { machineTypes: ['t2'], estimateS: 300 });
+  assert.equal(await submit(cluster, accepted), 201);
+  await cluster.run(20 * SECOND);
+  types.pop();
+  await cluster.run(REFRESH_TIME);
+  assert.equal(await submit(cluster, accepted), 200);
+  assert.equal(await submit(cluster, sampleJob('j-2', { machineTypes: ['t2'] })), 422);
+  assert.ok(cluster.invariants.runningTasks('j-1').length > 0, 'its tasks go on');
+  types.push(...typesNamed('t2'));
+  await cluster.run(REFRESH_TIME);
+  assert.equal(await submit(cluster, sampleJob('j-3', { machineTypes: ['t2'] })), 201);
+});
+
+test('an empty list of machine types changes nothing', async () => {
+  const types = typesNamed('t1');
+  const cluster = new SimCluster({ seed: 493, types });
+  await cluster.run(6 * SECOND);
+  types.pop();
+  await cluster.run(REFRESH_TIME);
+  assert.equal(await submit(cluster, sampleJob('j-1')), 201);
+});
