--- a/packages/daemon/job-feasibility.test.ts
+++ b/packages/daemon/job-feasibility.test.ts
@@ -95,3 +95,10 @@
     { seed: 50, numRuns: 2000 },
   );
 });
+
+test('a machine type that is offered in no zone is named as the reason', () => {
+  const [type] = fc.sample(machineType('t0'), { seed: 1, numRuns: 1 });
+  const machineTypes = [{ ...type!, zones: [] }];
+  const placement = placeOnUnlimitedMachines(sampleJob('j-1'), { teams: TEAMS, machineTypes });
+  assert.ok('field' in placement && placement.field === 'machineTypes');
+});
--- a/packages/daemon/stored-rows.test.ts
+++ b/packages/daemon/stored-rows.test.ts
@@ -184,6 +184,17 @@
   assert.deepEqual(reader.replica.jobs.get('j-1')?.spec, { ...ARRAY_JOB, machineTypes: ['large', 'small'] });
 });
 
+// Guards against a job that is refused for good by a node that has not read the machine types of a newer commit yet.
+test('a job that fits only a machine type which the node has not read yet is answered 503, then 201', async () => {
+  const fixture = new JobServiceFixture(TYPE_ROWS);
+  await fixture.advance();
+  const huge = TYPE_ROWS['mw/now/type/large'].replace('"large"', '"huge"');
+  fixture.store.writeUnguarded({ Set: 'mw/now/type/huge', V: JSON.parse(huge) as WireFields });
+  const job = { ...ARRAY_JOB, machineTypes: ['huge'] };
+  assert.equal(await fixture.submit(job), 503);
+  assert.equal(await fixture.submit(job), 201);
+});
+
 test('stores each job rank under its stored name', async () => {
   const fixture = new JobServiceFixture(TYPE_ROWS);
   await fixture.advance();
