Transfers: a machine that never reported to its former owner needs no token that nobody issues

A job waits for good beside an idle machine whose place is kept by a task that was cancelled before its launch.

Cause: an owner that had not heard of the worker released the machine without a heartbeat position, and the next owner then demanded the next fencing token.

Change: a release records the newest heartbeat position of all owners so far, (0, 0) if there was none. For that to hold, a process remembers what it has processed until it releases the machine, also when it reads the state anew. Without that memory a late copy of a heartbeat could prove that a task never started while its start was on the way: a fault of its own, fixed here since the first fix rests on it. Releases of older versions without a position are treated as before.

--- a/packages/daemon/shard-drafts.ts
+++ b/packages/daemon/shard-drafts.ts
@@ -1,8 +1,7 @@
 /** Collects the changes that one scheduling round writes to the logs of the owned shards. */
 import type { LogId, MachineStatus, RecordDraft } from '#cluster';
 import type { RoundPlan } from '#scheduling';
-import type { Heartbeat } from '#wire';
-import type { TaskCompletion } from '#workers';
+import type { HeartbeatPosition, TaskCompletion } from '#workers';
 
 /** The record drafts of one round, one for each shard with changes. */
 export class ShardDrafts {
@@ -29,8 +28,8 @@
     (this.shardDraft(shard).statuses ??= []).push([host, status]);
   }
 
-  /** Adds the release of a machine. `heartbeat` is the last one of the machine's worker; null if none is known. */
-  addRelease(shard: number, host: string, heartbeat: Heartbeat | null): void {
+  /** Adds the release of a machine, with the position that later owners compare heartbeats of its worker with. */
+  addRelease(shard: number, host: string, heartbeat: HeartbeatPosition | null): void {
     (this.shardDraft(shard).releases ??= []).push([
       host,
       heartbeat ? [heartbeat.incarnation, heartbeat.sequence] : null,
--- a/packages/daemon/shard-round.ts
+++ b/packages/daemon/shard-round.ts
@@ -110,7 +110,7 @@
   }
 
   private draftRelease(drafts: ShardDrafts, host: string, shard: number): void {
-    drafts.addRelease(shard, host, this.options.workers.trackedWorkers.get(host)?.heartbeat ?? null);
+    drafts.addRelease(shard, host, this.options.workers.releasePosition(host));
     this.options.pendingReleases.add(host, shard);
   }
 
--- a/packages/workers/machine-ownership.ts
+++ b/packages/workers/machine-ownership.ts
@@ -16,11 +16,15 @@
   /** A worker that has seen this fencing token ignores the responses of earlier owners. */
   readonly fencingToken: number;
   /**
-   * The last heartbeat that an earlier owner processed, or null if there was none. Older heartbeats may arrive late.
+   * The last heartbeat that an earlier owner, or this process before it read the state anew, has processed. Older ones may
+   * arrive late. {@link BEFORE_ALL_HEARTBEATS} if there was none, null if that is not known.
    */
   readonly lastHeartbeat: HeartbeatPosition | null;
 }
 
+/** Precedes the positions of all heartbeats, whose incarnations and sequence numbers begin with 1. */
+export const BEFORE_ALL_HEARTBEATS: HeartbeatPosition = { incarnation: 0, sequence: 0 };
+
 /** The state from which the ownership of machines is derived. */
 export interface OwnershipView {
   readonly ledger: Ledger;
@@ -43,6 +47,11 @@
 export class OwnedMachines {
   /** Keyed by host. */
   private readonly ownerships = new Map<string, MachineOwnership>();
+  /**
+   * The newest heartbeat that this process has processed as the owner of a machine. Keyed by host. It outlasts an ownership
+   * that ends without a release, as when the state is read anew: commands may have been sent in response.
+   */
+  private readonly processed = new Map<string, HeartbeatPosition>();
   private synced: SyncedState | null = null;
 
   /** Returns the current ownership of a machine, or undefined if this node doesn't own it. */
@@ -62,8 +71,10 @@
    */
   sync(view: OwnershipView): readonly string[] {
     // This method runs with every heartbeat. Without this check its total cost would be machines times heartbeats.
+    const isReadAnew = this.synced !== null && this.synced.ledger !== view.ledger;
     if (!this.recordIfChanged(view)) return [];
     const ended = this.removeEnded(view);
+    if (!isReadAnew) this.discardReleased(ended, view.ledger);
     this.addAcquired(view);
     return ended;
   }
@@ -91,6 +102,36 @@
     return ended;
   }
 
+  /** Records that this node, as the owner of the machine, has processed a heartbeat that is newer than all earlier ones. */
+  onHeartbeatProcessed(host: string, { incarnation, sequence }: HeartbeatPosition): void {
+    this.processed.set(host, { incarnation, sequence });
+  }
+
+  /**
+   * Returns what a release of the machine records: a heartbeat position such that every command of this owner or an
+   * earlier one was sent in response to that heartbeat or an older one, or with a fencing token that was replaced before
+   * this owner began. Null if no such position is known. `hasSeenToken`: true if the worker has seen the token of this
+   * ownership.
+   */
+  releasePosition(host: string, hasSeenToken: boolean): HeartbeatPosition | null {
+    const ownership = this.ownerships.get(host);
+    if (!ownership || (ownership.lastHeartbeat === null && !hasSeenToken)) return null;
+    return newerOf(ownership.lastHeartbeat ?? BEFORE_ALL_HEARTBEATS, this.processed.get(host));
+  }
+
+  /** Returns the newest heartbeat that earlier owners, or this process, have processed; null if it is not known. */
+  private lastHeartbeatOf(entry: MachineEntry): HeartbeatPosition | null {
+    const recorded = recordedPosition(entry);
+    return recorded && newerOf(recorded, this.processed.get(entry.host));
+  }
+
+  /** Discards the heartbeats of machines that were released or are gone; the release has recorded them. */
+  private discardReleased(ended: readonly string[], ledger: Ledger): void {
+    for (const host of ended) {
+      if ((ledger.machines.get(host)?.shard ?? null) === null) this.processed.delete(host);
+    }
+  }
+
   private addAcquired(view: OwnershipView): void {
     for (const [host, entry] of view.ledger.machines) {
       const owner = ownerOf(entry, view.owners);
@@ -99,7 +140,7 @@
         shard: entry.shard,
         ownerRevision: owner.revision,
         ownershipCount: entry.ownershipCount,
-        lastHeartbeat: lastHeartbeatOf(entry),
+        lastHeartbeat: this.lastHeartbeatOf(entry),
         since: view.now,
         fencingToken: acknowledgingToken(entry, view.fencingToken),
       });
@@ -119,20 +160,25 @@
 /**
  * Returns the lowest fencing token that, once a worker reports it, proves that the worker ignores all earlier owners.
  * This is usually the current token, because heartbeats from before a transfer are recognized by comparing them with
- * the last heartbeat that the earlier owner processed. If the earlier owner released the machine without having
- * processed any heartbeat, there is none to compare with. Then only the next token distinguishes old heartbeats from
- * new ones.
+ * the position that the release recorded. If it recorded none, as older versions do for a machine whose worker has not
+ * reported to them, only the next token distinguishes old heartbeats from new ones.
  */
 function acknowledgingToken(entry: MachineEntry, currentToken: number): number {
-  const wasReleasedWithoutHeartbeat = entry.ownershipCount > 0 && entry.lastHeartbeat === null;
-  return wasReleasedWithoutHeartbeat ? currentToken + 1 : currentToken;
+  return recordedPosition(entry) === null ? currentToken + 1 : currentToken;
+}
+
+/** Returns the newer one of two positions, the second of which may be absent. */
+function newerOf(position: HeartbeatPosition, other: HeartbeatPosition | undefined): HeartbeatPosition {
+  return other && isNewerHeartbeat(other, position) ? other : position;
 }
 
 function ownerOf(entry: MachineEntry, owners: ReadonlyMap<number, ShardOwner>): ShardOwner | undefined {
   return entry.shard === null ? undefined : owners.get(entry.shard);
 }
 
-function lastHeartbeatOf({ lastHeartbeat }: MachineEntry): HeartbeatPosition | null {
+/** Returns the heartbeat position that the last release recorded; null if it recorded none. */
+function recordedPosition({ ownershipCount, lastHeartbeat }: MachineEntry): HeartbeatPosition | null {
+  if (ownershipCount === 0) return BEFORE_ALL_HEARTBEATS;
   if (!lastHeartbeat) return null;
   const [incarnation, sequence] = lastHeartbeat;
   return { incarnation, sequence };
--- a/packages/workers/worker-registry.test.ts
+++ b/packages/workers/worker-registry.test.ts
@@ -114,18 +114,67 @@
 
 test('after a transfer, ignores late heartbeats that are older than the last one the previous owner processed', () => {
   const { ledger, jobs } = createScenario();
+  const workers = transferTo1(ledger, [1, 8]);
+  jobs.clear();
+  // This heartbeat was delayed. It was sent before the previous owner's response with the start command.
+  assert.ok(!workers.onHeartbeat(heartbeat({ sequence: 7 }), NOW));
+  assert.deepEqual(workers.findCompletions(ledger, jobs, NOW), []);
+  assert.ok(workers.onHeartbeat(heartbeat({ sequence: 9 }), NOW));
+  assert.equal(workers.findCompletions(ledger, jobs, NOW)[0]?.outcome, 'undelivered');
+});
+
+/** Transfers the machine of the scenario to shard 1 and returns the registry of its owner. */
+function transferTo1(ledger: Ledger, released: [number, number] | null): WorkerRegistry {
   ledger.apply('lead', { sequence: 2, recordedAtMs: 0, transferTargets: [['n-1', 1]] });
-  ledger.apply(0, { sequence: 2, recordedAtMs: 0, releases: [['n-1', [1, 8]]] });
+  ledger.apply(0, { sequence: 2, recordedAtMs: 0, releases: [['n-1', released]] });
   ledger.apply(1, { sequence: 1, recordedAtMs: 0, acquisitions: ['n-1'] });
   const workers = new WorkerRegistry(LIMITS);
   const owners = new Map([[1, { member: 'b', nonce: 'y', revision: 4, fencingToken: 5 }]]);
   workers.syncOwnership({ ledger, owners, fencingToken: 5, now: NOW });
+  return workers;
+}
+
+// Guards against a proof by a heartbeat that is older than a response of an owner before the last one.
+test('a release records the newest heartbeat of all owners so far, and never more than is known', () => {
+  const { workers } = createScenario();
+  assert.deepEqual(workers.releasePosition('n-1'), { incarnation: 0, sequence: 0 });
+  workers.onHeartbeat(heartbeat({ sequence: 3 }), NOW);
+  assert.deepEqual(workers.releasePosition('n-1'), { incarnation: 1, sequence: 3 });
+  const secondOwner = transferTo1(createScenario().ledger, [1, 8]);
+  assert.deepEqual(secondOwner.releasePosition('n-1'), { incarnation: 1, sequence: 8 });
+  // A release without a position, by an older version: the worker's token shows when nothing earlier can arrive.
+  const afterOldRelease = transferTo1(createScenario().ledger, null);
+  assert.equal(afterOldRelease.releasePosition('n-1'), null);
+  afterOldRelease.onHeartbeat(heartbeat({ sequence: 9 }), NOW);
+  assert.equal(afterOldRelease.releasePosition('n-1'), null);
+  afterOldRelease.onHeartbeat(heartbeat({ sequence: 10, fencingToken: 6 }), NOW);
+  assert.deepEqual(afterOldRelease.releasePosition('n-1'), { incarnation: 1, sequence: 10 });
+});
+
+test('a machine that never reported to its former owner needs no later token, unless the release told nothing', () => {
+  for (const [released, outcome] of [
+    [[0, 0], 'undelivered'],
+    [null, undefined],
+  ] as const) {
+    const { ledger, jobs } = createScenario();
+    jobs.clear();
+    const workers = transferTo1(ledger, released && [...released]);
+    workers.onHeartbeat(heartbeat(), NOW);
+    assert.equal(workers.findCompletions(ledger, jobs, NOW)[0]?.outcome, outcome);
+  }
+});
+
+// Guards against a proof by a late heartbeat after the node has read the state anew, and forgotten what it answered.
+test('ignores heartbeats older than those that it processed before it read the state anew', () => {
+  const { workers, ledger, jobs } = createScenario();
+  workers.onHeartbeat(heartbeat({ sequence: 5 }), NOW);
+  assert.equal(workers.commands('n-1', { ledger, jobs, allowsStarts: true })[0]?.kind, 'start');
   jobs.clear();
-  // This heartbeat was delayed. It was sent before the previous owner's response with the start command.
-  assert.ok(!workers.onHeartbeat(heartbeat({ sequence: 7 }), NOW));
+  workers.syncOwnership({ ledger: new Ledger(), owners: new Map(), fencingToken: 5, now: NOW });
+  workers.syncOwnership({ ledger, owners: OWNERS, fencingToken: 5, now: NOW });
+  assert.ok(!workers.onHeartbeat(heartbeat({ sequence: 4 }), NOW));
   assert.deepEqual(workers.findCompletions(ledger, jobs, NOW), []);
-  assert.ok(workers.onHeartbeat(heartbeat({ sequence: 9 }), NOW));
-  assert.equal(workers.findCompletions(ledger, jobs, NOW)[0]?.outcome, 'undelivered');
+  assert.deepEqual(workers.releasePosition('n-1'), { incarnation: 1, sequence: 5 });
 });
 
 test('measures the run time of a task only if this owner saw it start running', () => {
--- a/packages/workers/worker-registry.ts
+++ b/packages/workers/worker-registry.ts
@@ -5,7 +5,12 @@
 import { CompletionDetector, type TaskCompletion } from './completion-detector.js';
 import { isStaleForOwner, OwnedMachines, type OwnershipView } from './machine-ownership.js';
 import { StopRequests } from './stop-requests.js';
-import { isNewerHeartbeat, trackHeartbeat, type TrackedWorker } from './tracked-worker.js';
+import {
+  type HeartbeatPosition,
+  isNewerHeartbeat,
+  trackHeartbeat,
+  type TrackedWorker,
+} from './tracked-worker.js';
 import { trackedMachineStatus, untrackedMachineStatus, updateLiveness } from './worker-liveness.js';
 import type { WorkerTimeouts } from './worker-timeouts.js';
 
@@ -51,9 +56,15 @@
     if (isStaleForOwner(ownership, heartbeat)) return false;
     const hasSeenToken = heartbeat.fencingToken >= ownership.fencingToken;
     this.trackedWorkers.set(host, trackHeartbeat({ heartbeat, previous, hasSeenToken, now }));
+    this.machines.onHeartbeatProcessed(host, heartbeat);
     return true;
   }
 
+  /** Returns the heartbeat position that a release of the machine records; see {@link OwnedMachines.releasePosition}. */
+  releasePosition(host: string): HeartbeatPosition | null {
+    return this.machines.releasePosition(host, this.trackedWorkers.get(host)?.hasSeenToken === true);
+  }
+
   /** Records that a heartbeat response was sent to the worker. The response renews the worker's lease. */
   onResponseSent(host: string, now: Micros): void {
     const worker = this.trackedWorkers.get(host);
