--- a/packages/cluster/placement.ts
+++ b/packages/cluster/placement.ts
@@ -61,7 +61,10 @@
   status: MachineStatus;
   /** Incremented with each acquisition, to distinguish one ownership of the machine from the next. */
   ownershipCount: number;
-  /** Newest heartbeat that the last owner had processed at the release. Later owners ignore older heartbeats. */
+  /**
+   * Newest heartbeat that the last owner, or one before it, had processed at the release; [0, 0] if there was none. Later
+   * owners ignore older heartbeats. Null before the first release, or if an older version recorded none.
+   */
   lastHeartbeat: HeartbeatPosition | null;
   /** Images fetched for tasks on the machine, the most recent last. */
   cachedImages: string[];
@@ -131,7 +134,7 @@
 export type CompletionRow = [job: string, index: number, attempt: number, outcome: Outcome];
 /** A machine's new status. */
 export type StatusRow = [host: string, status: MachineStatus];
-/** A machine that its shard releases, and the last heartbeat that the owner processed. */
+/** A machine that its shard releases, and the position of `MachineEntry.lastHeartbeat`. */
 export type ReleaseRow = [host: string, lastHeartbeat: HeartbeatPosition | null];
 /** The cells of a {@link ShapePrice}. */
 export type PriceRow = [cpu: number, gpu: number, mem: number];
