Submissions: without any machine types the answer is 503 at once, as before

Since a node that had just started held its 503 back until its replica had caught up, to look for an accepted job first. While types are known in part, or a job does not fit, the job is looked up first, as before.

--- a/packages/daemon/job-service.ts
+++ b/packages/daemon/job-service.ts
@@ -36,6 +36,7 @@
 /** Bytes reserved in a stored job row for everything but the job's specification. */
 const JOB_ROW_OVERHEAD_BYTES = 100;
 
+const TYPES_UNKNOWN = unavailable('machine types not known yet');
 const TYPES_CHANGED = unavailable('machine types have changed');
 const NO_SUCH_JOB: ServiceResponse = { status: 404, body: { error: 'no such job' } };
 
@@ -128,6 +129,8 @@
   /** Returns the response to a job that can't be accepted now; null if it can. */
   private findRejection(job: JobSpec): ServiceResponse | Promise<ServiceResponse> | null {
     const { replica } = this.options;
+    // Without any machine types the node has just started or waits for the cloud, so another node is asked at once.
+    if (replica.machineTypes.size === 0) return TYPES_UNKNOWN;
     // A job that was accepted earlier is known whatever the machine types are now.
     if (this.infeasibleResponse(job) !== null)
       return this.jobStateResponse(job.id, () => this.infeasibleResponse(job) ?? TYPES_CHANGED);
@@ -147,7 +150,7 @@
     const machineTypes = replica.machineTypes.values();
     const reason = infeasibleReason(job, { teams: settings.teams, machineTypes });
     if (reason === null) return null;
-    if (!replica.areMachineTypesKnown) return unavailable('machine types not known yet');
+    if (!replica.areMachineTypesKnown) return TYPES_UNKNOWN;
     return { status: 422, body: { error: reason } };
   }
 
